Read the configuration again on SIGHUP and move discovery without a gap

Ruled out: a fault in discovery's watch, for the log ends at the signal. At fault: cmd/spurspread asked for SIGTERM and SIGINT only, and after the listener stood; discovery had one address for life.

Now: signals are asked for first; SIGHUP reads GW_CONFIG outside the loop, a file that can't be used is one line in the log. Discovery.Move asks the new address at once for the whole list (its versions may be its own), keeps the old watch until the new one has answered, and repeats a failed call within the 4 s after which all counts as told.

--- a/cmd/spurspread/main.go
+++ b/cmd/spurspread/main.go
@@ -40,15 +40,16 @@
 }
 
 func run(getenv func(string) string) error {
+	// Asked for before all else: a SIGHUP would end the process, and a SIGTERM cut off whoever is there.
+	signals := make(chan os.Signal, 16)
+	signal.Notify(signals, unix.SIGTERM, unix.SIGINT, unix.SIGHUP)
+	defer signal.Stop(signals)
 	cfg, lim, err := configure(getenv)
 	if err != nil {
 		return err
 	}
 	runtime.GOMAXPROCS(max(1, int(lim.cores)))
-	if lim.memoryMB > 0 {
-		// The collector works harder near the limit; the rest is for stacks, the binary and the kernel's buffers.
-		debug.SetMemoryLimit(lim.memoryMB << 20 / 2)
-	}
+	lim.limitMemory()
 	out := newOutput(os.Stderr)
 	defer out.close()
 	log := logrus.New()
@@ -58,22 +59,42 @@
 	if err != nil {
 		return err
 	}
-	// Asked for before the first client can come: without it a stop would cut off whoever is there.
-	term := make(chan os.Signal, 1)
-	signal.Notify(term, unix.SIGTERM, unix.SIGINT)
-	defer signal.Stop(term)
 	r, err := relay.New(l, cfg, log)
 	if err != nil {
 		return errors.Join(err, l.Close())
 	}
 	go func() {
-		<-term
-		l.Post(r.Drain)
+		for s := range signals {
+			if s == unix.SIGHUP {
+				reload(getenv, l, r, log)
+			} else {
+				l.Post(r.Drain)
+			}
+		}
 	}()
 	log.WithField("listen", r.Addr()).Info("started")
 	return errors.Join(l.Run(), l.Close())
 }
 
+// reload reads the configuration again, outside the loop. One that can't be used changes nothing.
+func reload(getenv func(string) string, l *loop.Loop, r *relay.Relay, log *logrus.Logger) {
+	cfg, lim, err := configure(getenv)
+	if err != nil {
+		log.Error("the configuration stays as it was: ", oneLine(err))
+		return
+	}
+	lim.limitMemory()
+	l.Post(func() { r.Reload(cfg) })
+}
+
+// limitMemory has the collector work harder near the limit; the rest is for stacks, the binary and the kernel's
+// buffers.
+func (lim limits) limitMemory() {
+	if lim.memoryMB > 0 {
+		debug.SetMemoryLimit(lim.memoryMB << 20 / 2)
+	}
+}
+
 // configure reads GW_CONFIG's file. The plain variables stand in for what it does not have.
 func configure(getenv func(string) string) (relay.Config, limits, error) {
 	var cfg relay.Config
--- a/cmd/spurspread/main_test.go
+++ b/cmd/spurspread/main_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -55,35 +56,119 @@
 	}
 }
 
-// The program serves until SIGTERM and then ends well.
-func TestServesUntilSIGTERM(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+// TestMain lets the tests start this binary as the program itself.
+func TestMain(m *testing.M) {
+	if os.Getenv("SPURSPREAD_TEST_AS_MAIN") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// listener stands in for discovery, which is asked but says nothing.
+func listener(t *testing.T) *net.TCPListener {
+	t.Helper()
+	ln, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	_ = ln.SetDeadline(time.Now().Add(10 * time.Second))
+	return ln
+}
+
+// asked takes the next call that comes to discovery.
+func asked(t *testing.T, ln *net.TCPListener) string {
+	t.Helper()
+	c, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	text, _ := bufio.NewReader(c).ReadString('\n')
+	return text
+}
+
+// The program takes SIGHUP without a gap, with a good file and a bad one, and ends well on SIGTERM.
+func TestSignals(t *testing.T) {
+	was, is := listener(t), listener(t)
+	free := listener(t)
+	addr := free.Addr().String()
+	_ = free.Close()
+	path := env(t, "127.0.0.1:8081", addr)("GW_CONFIG")
+	text, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr := ln.Addr().String()
-	_ = ln.Close()
-	ended := make(chan error, 1)
-	getenv := env(t, "127.0.0.1:8081", addr)
-	go func() { ended <- run(getenv) }()
-	var c net.Conn
-	for until := time.Now().Add(10 * time.Second); ; {
-		if c, err = net.Dial("tcp", addr); err == nil {
-			break
+	write := func(discovery string) {
+		changed := strings.Replace(string(text), "127.0.0.1:8500", discovery, 1)
+		if err := os.WriteFile(path, []byte(changed), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(was.Addr().String())
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = []string{"SPURSPREAD_TEST_AS_MAIN=1", "GW_CONFIG=" + path}
+	out, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = cmd.Process.Kill() }()
+	log := bufio.NewScanner(out)
+	logged := func(what string) {
+		t.Helper()
+		for log.Scan() {
+			if strings.Contains(log.Text(), what) {
+				return
+			}
 		}
-		if time.Now().After(until) {
+		t.Fatalf("the program ended without logging %q", what)
+	}
+	signal := func(s unix.Signal) {
+		if err := cmd.Process.Signal(s); err != nil {
 			t.Fatal(err)
 		}
 	}
-	defer func() { _ = c.Close() }()
-	_, _ = fmt.Fprint(c, "PING\r\n")
-	if got, err := bufio.NewReader(c).ReadString('\n'); got != "PONG\r\n" {
-		t.Fatalf("%q, %v", got, err)
+	logged("started")
+	if got := asked(t, was); !strings.Contains(got, "index=1 ") {
+		t.Errorf("asked %q", got)
 	}
-	if err := unix.Kill(unix.Getpid(), unix.SIGTERM); err != nil {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
 		t.Fatal(err)
 	}
-	if err := <-ended; err != nil {
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	rd := bufio.NewReader(c)
+	answers := func() {
+		t.Helper()
+		_, _ = fmt.Fprint(c, "PING\r\n")
+		if got, err := rd.ReadString('\n'); got != "PONG\r\n" {
+			t.Fatalf("%q, %v", got, err)
+		}
+	}
+	answers()
+	write("nowhere")
+	signal(unix.SIGHUP)
+	logged("the configuration stays as it was: configuration: discovery")
+	answers()
+	write(is.Addr().String())
+	signal(unix.SIGHUP)
+	// The versions of the new address may be its own, so the whole list is asked for.
+	if got := asked(t, is); !strings.Contains(got, "index=0 ") {
+		t.Errorf("asked %q", got)
+	}
+	answers()
+	signal(unix.SIGHUP)
+	signal(unix.SIGTERM)
+	signal(unix.SIGHUP)
+	logged("draining")
+	_ = c.Close()
+	logged("drained")
+	if err := cmd.Wait(); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"reflect"
 	"slices"
 
 	"github.com/sirupsen/logrus"
@@ -90,6 +91,20 @@
 // Addr is where the relay listens.
 func (r *Relay) Addr() netip.AddrPort { return r.ingress.Addr() }
 
+// Reload takes what a configuration that was read again may change under way: discovery's address and the number of
+// descriptors. Clients, new and standing, notice nothing of it.
+func (r *Relay) Reload(cfg Config) {
+	if cfg.Listen != r.cfg.Listen || !reflect.DeepEqual(cfg.Settings, r.cfg.Settings) {
+		r.log.Warn("a change of listen or settings takes a restart")
+	}
+	r.cfg.Descriptors = cfg.Descriptors
+	if cfg.Discovery != r.cfg.Discovery {
+		r.cfg.Discovery = cfg.Discovery
+		r.discovery.Move(cfg.Discovery)
+	}
+	r.log.WithField("discovery", cfg.Discovery).Info("configuration read again")
+}
+
 // tell hands an event to the module and carries out what it decides. What that brings about in turn waits in line,
 // so that the module never hears of an event in the middle of another.
 func (r *Relay) tell(ev logic.Event) {
--- a/internal/route/discovery.go
+++ b/internal/route/discovery.go
@@ -12,11 +12,15 @@
 
 const (
 	path = "/api/targets"
-	// Discovery serves calls one after another and answers 503 after a while; one that says nothing at all is
-	// given up after callTime.
-	callTime = 3_000_000
+	// Discovery serves calls one after another and answers 503 after a second; one that says nothing at all is
+	// given up after callTime, so that a further one can still bring what counts as told by then.
+	callTime = 1_500_000
 	// On a watch an empty line comes every 2 s; one that is silent for longer, with some room, is dead.
 	silence = 2_000_000 + 800_000
+	// What a new address has to tell counts as told 4 s after it was named. Until it has answered, or moveTime is
+	// over, a failed call is repeated here: the pauses between what its user asks are longer.
+	moveTime  = 4_000_000
+	moveAgain = 150_000
 )
 
 var errSilent = errors.New("discovery is silent")
@@ -38,6 +42,9 @@
 	generation uint64
 	live       *call // the watch that has answered
 	asking     *call // a watch that has not answered yet
+	foreign    bool  // generation and live are of the address before
+	repeatTill loop.Micros
+	again      loop.Ref
 	scratch    []byte
 }
 
@@ -60,13 +67,26 @@
 		d.asking.drop()
 		d.asking = nil
 	}
+	d.l.Cancel(&d.again)
 	c := &call{d: d, stream: true}
 	d.asking = c
-	c.start(fmt.Sprintf("%s?stream=1&index=%d", path, d.generation))
+	index := d.generation
+	if d.foreign {
+		index = 0 // whose versions these are is not known: the whole list is asked for
+	}
+	c.start(fmt.Sprintf("%s?stream=1&index=%d", path, index))
+}
+
+// Move goes over to another address. The table stays, and so does a watch at the old address until the new one has
+// answered or the old one ends it.
+func (d *Discovery) Move(to netip.AddrPort) {
+	d.addr, d.foreign, d.repeatTill = to, true, d.l.Now()+moveTime
+	d.Watch()
 }
 
 // Unwatch ends the subscription.
 func (d *Discovery) Unwatch() {
+	d.l.Cancel(&d.again)
 	for _, c := range []*call{d.live, d.asking} {
 		if c != nil {
 			c.drop()
@@ -78,11 +98,13 @@
 // Fetch asks once for the whole list.
 func (d *Discovery) Fetch() { (&call{d: d}).start(path) }
 
-// listed applies one object. While an older watch is live, a newer one may begin behind it.
+// listed applies one object. While an older watch is live, a newer one may begin behind it; not so at a new address,
+// whose versions are its own.
 func (d *Discovery) listed(c *call, text []byte) error {
 	first := c.stream && c == d.asking
-	old := d.live != nil && d.live != c
-	if old {
+	if first && d.foreign {
+		d.foreign = false
+	} else if d.live != nil && d.live != c {
 		if g, err := generation(text); err == nil && g < d.generation {
 			text = fmt.Appendf(nil, `{"generation":%d}`, d.generation)
 		}
@@ -210,13 +232,21 @@
 		return
 	}
 	c.drop()
-	if c.d.live == c {
-		c.d.live = nil
+	d := c.d
+	if d.live == c {
+		d.live = nil
+		if d.asking != nil || d.again != 0 {
+			return // the watch that is being asked for tells
+		}
 	}
-	if c.d.asking == c {
-		c.d.asking = nil
+	if d.asking == c {
+		d.asking = nil
+		if d.foreign && d.l.Now() < d.repeatTill {
+			d.again = d.l.After(moveAgain, d.Watch)
+			return
+		}
 	}
-	c.d.to.Failed(err)
+	d.to.Failed(err)
 }
 
 func (c *call) drop() {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -131,26 +131,34 @@
 
 func chunk(line string) string { return fmt.Sprintf("%x\r\n%s\n\r\n", len(line)+1, line) }
 
-func start(t *testing.T) (fake, told, *loop.Loop, *Discovery) {
+func newFake(t *testing.T) fake {
 	t.Helper()
 	ln, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { _ = ln.Close() })
+	return fake{ln, t}
+}
+
+func (f fake) addr() netip.AddrPort { return netip.MustParseAddrPort(f.Addr().String()) }
+
+func start(t *testing.T) (fake, told, *loop.Loop, *Discovery) {
+	t.Helper()
+	f := newFake(t)
 	l, err := loop.New()
 	if err != nil {
 		t.Fatal(err)
 	}
 	w := told{make(chan string, 100)}
-	d := NewDiscovery(l, netip.MustParseAddrPort(ln.Addr().String()), NewTable(), w)
+	d := NewDiscovery(l, f.addr(), NewTable(), w)
 	done := make(chan error, 1)
 	go func() { done <- l.Run() }()
 	t.Cleanup(func() {
 		l.Post(l.Stop)
 		<-done
-		_ = ln.Close()
 	})
-	return fake{ln, t}, w, l, d
+	return f, w, l, d
 }
 
 // A watch carries the version on, and asking again keeps the old watch until the new one has answered.
@@ -174,6 +182,29 @@
 	w.want(t, "failed")
 }
 
+// A new address is asked for the whole list, whose versions are its own, and asked again where it fails. Until it has
+// answered, what comes from the old one counts; that one's end is no failure.
+func TestMove(t *testing.T) {
+	f, w, l, d := start(t)
+	l.Post(d.Watch)
+	old := f.call("/api/targets?stream=1&index=0", watched+chunk(whole))
+	w.want(t, "41 s1 s2")
+	next := newFake(t)
+	l.Post(func() { d.Move(next.addr()) })
+	next.call("/api/targets?stream=1&index=0", "HTTP/1.1 503 Busy\r\n\r\n")
+	_, _ = old.Write([]byte(chunk(`{"generation":43,"instances":[` + two + `]}`)))
+	w.want(t, "43 s2")
+	_ = old.Close()
+	live := next.call("/api/targets?stream=1&index=0", watched+chunk(strings.Replace(whole, "41", "7", 1)))
+	w.want(t, "7 s1 s2")
+	_, _ = live.Write([]byte(chunk(`{"generation":8,"instances":[` + one + `]}`)))
+	w.want(t, "8 s1")
+	_ = live.Close()
+	w.want(t, "failed")
+	l.Post(d.Watch)
+	next.call("/api/targets?stream=1&index=8", "")
+}
+
 // A call that is refused, or a watch that breaks or says what can't be read, is one failure.
 func TestFailures(t *testing.T) {
 	for name, answer := range map[string]string{
