Bad clients: validate strictly, make room among idle ones, judge errors by a second server

Copies of an open request's id come with a sound first line; the target answers ERR, and 81 such requests demoted one target after another, until usual requests waited for their deadline with none to go to. Ruled out: slow answers (ERR left within 1 ms) and CPU (0.08 of a core at most). At fault: accept took all that came and headTime was 5 s, pings 60 s; dial told a lack of descriptors as ConnectFailed; ParseOpen dropped the id; onOutcome demoted for any error.

Now: sessions on which no request depends are closed, oldest first, when a descriptor is needed; a first line is whole within 2 s; ids are never taken twice; a client that does not wait for its answer gets ERR; no more of a line is kept than it may hold, and one that sends on is cut off; buffers fit the memory; a dial that this machine could not make is Moot. An error demotes only once another server has taken the same request.

--- a/cmd/spurspread/main.go
+++ b/cmd/spurspread/main.go
@@ -91,7 +91,7 @@
 // buffers.
 func (lim limits) limitMemory() {
 	if lim.memoryMB > 0 {
-		debug.SetMemoryLimit(lim.memoryMB << 20 / 2)
+		debug.SetMemoryLimit(lim.memoryMB << 20 * 5 / 8)
 	}
 }
 
@@ -126,7 +126,7 @@
 	}
 	cfg.Known = []byte(root.Get("known").Raw)
 	lim := limits{root.Get("limits.cores").Float(), root.Get("limits.memory_mb").Int(), int(root.Get("limits.sockets").Int())}
-	cfg.Descriptors = lim.sockets
+	cfg.Descriptors, cfg.Memory = lim.sockets, lim.memoryMB<<20
 	return cfg, lim, nil
 }
 
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -58,11 +58,12 @@
 
 // Open is a client's first line. Its slices, and the offsets of d's value, are of the line that was parsed.
 type Open struct {
+	ID         uint64 // new for every connection
 	Key        uint64
 	Group      uint64
 	Class      []byte
 	At         []byte // the server that holds the connection already
-	Millis     int64  // d; below 0 where the line has none
+	Millis     int64  // d
 	DFrom, DTo int    // where d's value stands
 	Retry      bool
 	Returned   bool
@@ -70,14 +71,18 @@
 	HasHint    bool
 }
 
-// ParseOpen reads "OPEN ID KEY name=value,...". Names that it does not know are left alone.
+// maxWord is how long an id or a key may be.
+const maxWord = 64
+
+// ParseOpen reads "OPEN ID KEY name=value,...". Names that it does not know are left alone. It is strict with all
+// others: what a target could not use would come back as its error.
 func ParseOpen(text []byte) (Open, error) {
 	o := Open{Millis: -1}
 	fields := bytes.SplitN(text, []byte(" "), 4)
-	if len(fields) != 4 || string(fields[0]) != "OPEN" || len(fields[1]) == 0 || len(fields[2]) == 0 {
+	if len(fields) != 4 || string(fields[0]) != "OPEN" || !word(fields[1]) || !word(fields[2]) {
 		return o, ErrMalformed
 	}
-	o.Key = number(fields[2])
+	o.ID, o.Key = number(fields[1]), number(fields[2])
 	at := len(text) - len(fields[3])
 	for at <= len(text) {
 		end := len(text)
@@ -93,7 +98,7 @@
 		}
 		at = end + 1
 	}
-	if len(o.Class) == 0 {
+	if len(o.Class) == 0 || o.Millis < 0 {
 		return o, ErrMalformed
 	}
 	return o, nil
@@ -102,13 +107,16 @@
 func (o *Open) set(name string, value []byte, end int) error {
 	switch name {
 	case "c":
+		if o.Class != nil {
+			return ErrMalformed
+		}
 		o.Class = value
 	case "d":
-		v, err := strconv.ParseInt(string(value), 10, 64)
-		if err != nil || v < 0 || v > math.MaxInt32 || o.Millis >= 0 {
+		v, err := strconv.ParseUint(string(value), 10, 31)
+		if err != nil || o.Millis >= 0 {
 			return ErrMalformed
 		}
-		o.Millis, o.DFrom, o.DTo = v, end-len(value), end
+		o.Millis, o.DFrom, o.DTo = int64(v), end-len(value), end
 	case "g":
 		o.Group = number(value)
 	case "r":
@@ -127,6 +135,8 @@
 	return nil
 }
 
+func word(b []byte) bool { return len(b) > 0 && len(b) <= maxWord && printable(b) }
+
 func printable(b []byte) bool {
 	for _, c := range b {
 		if c <= ' ' || c >= 0x7f {
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -12,6 +12,16 @@
 // ErrAgain says that a socket has nothing to read now; Readable comes when it has.
 var ErrAgain = errors.New("nothing to read now")
 
+// Exhausted tells that a call failed for want of something of this machine's own, whoever the peer is.
+func Exhausted(err error) bool {
+	for _, e := range []error{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.EADDRNOTAVAIL} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 // Owner is told what happens to a Conn. It may close the Conn in any of these calls.
 type Owner interface {
 	// Connected tells how a Dial ended; after an error the Conn is only to be closed.
@@ -265,8 +275,7 @@
 		case err == nil:
 		case errors.Is(err, unix.EAGAIN):
 			return
-		case errors.Is(err, unix.EMFILE), errors.Is(err, unix.ENFILE), errors.Is(err, unix.ENOBUFS),
-			errors.Is(err, unix.ENOMEM):
+		case Exhausted(err):
 			// The queue stays readable: without a pause the loop would spin until a descriptor is free.
 			ln.pause()
 			return
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -28,23 +28,36 @@
 }
 
 func (r *Relay) dial(s *session, t *route.Target, attempt int, wait loop.Micros) *hop {
+	r.makeRoom()
 	now := r.l.Now()
 	h := &hop{r: r, s: s, target: t, attempt: attempt, began: now, until: now + wait}
 	var err error
-	if !t.Addr.IsValid() || r.tight(reserveOwn) {
-		err = errors.New("no address or no descriptor")
-	} else {
-		h.conn, err = r.l.Dial(t.Addr, h)
-	}
-	if err != nil {
+	if h.conn, err = r.dialTarget(t, h); err != nil {
 		// Told in a later turn, like every other outcome.
-		h.timer = r.l.After(0, func() { h.end(logic.ConnectFailed) })
+		h.timer = r.l.After(0, func() { h.end(refusal(err)) })
 		return h
 	}
 	h.timer = r.l.After(min(wait, loop.Micros(r.cfg.Settings.ConnectTimeout)), func() { h.end(logic.ConnectFailed) })
 	return h
 }
 
+// dialTarget starts a connection to a target, for a hop or a probe.
+func (r *Relay) dialTarget(t *route.Target, owner loop.Owner) (*loop.Conn, error) {
+	if t == nil || !t.Addr.IsValid() {
+		return nil, errors.New("no address")
+	}
+	return r.l.Dial(t.Addr, owner)
+}
+
+// refusal is the outcome of a dial that failed at once. What this machine lacks says nothing of the target: taken
+// for a refusal, a crowd that used up the descriptors would have every target demoted.
+func refusal(err error) logic.Status {
+	if loop.Exhausted(err) {
+		return logic.Moot
+	}
+	return logic.ConnectFailed
+}
+
 // Connected is part of loop.Owner.
 func (h *hop) Connected(conn *loop.Conn, err error) {
 	if err != nil {
@@ -56,14 +69,10 @@
 	h.r.l.Cancel(&h.timer)
 	h.timer = h.r.l.After(h.until-now, func() { h.end(h.unanswered(logic.TimedOut)) })
 	// d tells the target how long this hop will wait. All else goes as the client sent it, byte for byte.
-	text, first := h.s.head[:h.s.headLen], &h.s.first
-	if first.Millis < 0 {
-		conn.Write(text)
-	} else {
-		var digits [20]byte
-		d := strconv.AppendInt(digits[:0], max((h.until-now)/ms, 1), 10)
-		conn.Write(text[:first.DFrom], d, text[first.DTo:])
-	}
+	text, first := h.s.head, &h.s.first
+	var digits [20]byte
+	d := strconv.AppendInt(digits[:0], max((h.until-now)/ms, 1), 10)
+	conn.Write(text[:first.DFrom], d, text[first.DTo:])
 	h.sent = conn.Pending() == 0
 }
 
@@ -86,7 +95,7 @@
 // Readable is part of loop.Owner.
 func (h *hop) Readable(*loop.Conn) {
 	for range fairRounds {
-		if h.over || !h.connected || h.s.in.Pending() > maxPending {
+		if h.over || !h.connected || h.s.in.Pending() > h.r.maxPending {
 			return // in the last case it is read on when the client has caught up
 		}
 		n, err := h.conn.Read(h.r.scratch)
@@ -120,6 +129,10 @@
 	kind, _ := line.Server(text)
 	switch kind {
 	case line.Up:
+		// What the client sent before its answer shows now at the latest.
+		if h.s.Readable(h.s.in); h.over {
+			return
+		}
 		h.r.l.Cancel(&h.timer)
 		buf := h.buf
 		h.buf = nil
@@ -135,7 +148,7 @@
 		h.end(logic.ServerFull)
 	default:
 		if kind != line.Err {
-			h.r.log.WithField("line", string(text[:min(len(text), 60)])).Warn("a target answered what no target should")
+			h.r.counts.odd++
 		}
 		h.end(logic.ErrorAnswer)
 	}
--- a/internal/relay/pace.go
+++ b/internal/relay/pace.go
@@ -67,7 +67,7 @@
 	}
 	for _, s := range r.sessions.All {
 		// A client that does not read keeps its target from being read: what is late then is no fault of the target's.
-		if s.phase != open || s.in.Pending() > maxPending {
+		if s.phase != open || s.in.Pending() > r.maxPending {
 			continue
 		}
 		if s.silent(now) {
--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -25,13 +25,10 @@
 
 func (r *Relay) probe(server uint32) {
 	p := &probe{r: r, server: server, began: r.l.Now()}
-	t := r.table.ByNum(server)
-	err := errors.New("no address or no descriptor")
-	if t != nil && t.Addr.IsValid() && !r.tight(reserveOwn) {
-		p.conn, err = r.l.Dial(t.Addr, p)
-	}
-	if err != nil {
-		p.timer = r.l.After(0, func() { p.end(logic.ConnectFailed) })
+	r.makeRoom()
+	var err error
+	if p.conn, err = r.dialTarget(r.table.ByNum(server), p); err != nil {
+		p.timer = r.l.After(0, func() { p.end(refusal(err)) })
 		return
 	}
 	p.conn.Write([]byte("PING\r\n"))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,15 +23,12 @@
 	Seed              uint64
 	Known             []byte // the route table as it was last held; may be empty
 	Descriptors       int    // how many the process may hold
+	Memory            int64  // bytes that it may use; 0 where not told, as above
 }
 
 const (
 	ms  loop.Micros = 1000
 	sec loop.Micros = 1000 * ms
-
-	// Descriptors that are kept free: the runtime's own, and room to take a client in and tell it that it is shed.
-	reserveOwn  = 16
-	reserveShed = 48
 )
 
 // decider is the decision module, as far as the relay knows it.
@@ -50,18 +47,22 @@
 	ingress   *loop.Listener
 
 	sessions loop.Slots[*session]
+	room     room
+	ids      ids
 	gone     []*session // answered and closed; their slots are freed once the module's queue is empty
 	targets  []*pace    // by the target's number
 	queue    []logic.Event
 	telling  bool
 	actions  []logic.Action
 	scratch  []byte
-	counts   counts
-	drain    drain
+	// Bytes kept for a slow reader before its sender is left alone.
+	maxPending int
+	counts     counts
+	drain      drain
 }
 
 // counts are what the log tells now and then.
-type counts struct{ taken, up, shed, failed, moved, silent int }
+type counts struct{ taken, up, shed, failed, moved, silent, odd, evicted int }
 
 // New starts a relay on the loop: it listens, and its module starts from the known list.
 func New(l *loop.Loop, cfg Config, log *logrus.Logger) (*Relay, error) {
@@ -69,7 +70,9 @@
 }
 
 func start(l *loop.Loop, cfg Config, log *logrus.Logger, bal decider) (*Relay, error) {
-	r := &Relay{l: l, cfg: cfg, log: log, bal: bal, table: route.NewTable(), scratch: make([]byte, 16<<10)}
+	r := &Relay{l: l, cfg: cfg, log: log, bal: bal, table: route.NewTable(), ids: newIDs(),
+		scratch: make([]byte, 8<<10)}
+	r.limit()
 	r.discovery = route.NewDiscovery(l, cfg.Discovery, r.table, r)
 	known := route.Change{}
 	if len(cfg.Known) > 0 {
@@ -97,7 +100,8 @@
 	if cfg.Listen != r.cfg.Listen || !reflect.DeepEqual(cfg.Settings, r.cfg.Settings) {
 		r.log.Warn("a change of listen or settings takes a restart")
 	}
-	r.cfg.Descriptors = cfg.Descriptors
+	r.cfg.Descriptors, r.cfg.Memory = cfg.Descriptors, cfg.Memory
+	r.limit()
 	if cfg.Discovery != r.cfg.Discovery {
 		r.cfg.Discovery = cfg.Discovery
 		r.discovery.Move(cfg.Discovery)
@@ -222,11 +226,6 @@
 	return r.targets[num]
 }
 
-// tight tells that descriptors run short.
-func (r *Relay) tight(reserve int) bool {
-	return r.cfg.Descriptors > 0 && r.l.Descriptors() > r.cfg.Descriptors-reserve
-}
-
 const (
 	sweepEvery  = 200 * ms
 	reportEvery = 5 * sec
@@ -237,5 +236,6 @@
 	r.log.WithFields(logrus.Fields{
 		"standing": r.sessions.Len(), "sockets": r.l.Descriptors(), "taken": r.counts.taken, "up": r.counts.up,
 		"shed": r.counts.shed, "failed": r.counts.failed, "moved": r.counts.moved, "silent": r.counts.silent,
+		"odd": r.counts.odd, "evicted": r.counts.evicted,
 	}).Info("so far")
 }
--- /dev/null
+++ b/internal/relay/room.go
@@ -0,0 +1,111 @@
+package relay
+
+import "container/list"
+
+const (
+	// Descriptors that are kept free: the runtime's own, and a part of all for hops, probes and discovery.
+	reserveOwn  = 16
+	reservePart = 16
+
+	// Of the memory, the part that may be kept for slow readers, and the bounds for one of them.
+	pendingPart  = 8
+	leastPending = 4 << 10
+	mostPending  = 32 << 10
+)
+
+// room holds the sessions on which no request depends. They cost a descriptor each, and hundreds of clients may open
+// connections and say nothing, or ask once and stay. So they stay while there is room, and go in this order when a
+// descriptor is needed: what has its answer, what has said nothing or little, what pings as a front does.
+type room struct{ answered, strangers, fronts list.List }
+
+// enter puts a session last in its row.
+func (q *room) enter(s *session) {
+	q.leave(s)
+	switch {
+	case s.phase == ending:
+		s.idleIn = &q.answered
+	case s.pinged > 1:
+		s.idleIn = &q.fronts
+	default:
+		s.idleIn = &q.strangers
+	}
+	s.idle = s.idleIn.PushBack(s)
+}
+
+// leave takes a session out, if it is in.
+func (q *room) leave(s *session) {
+	if s.idle != nil {
+		s.idleIn.Remove(s.idle)
+		s.idle, s.idleIn = nil, nil
+	}
+}
+
+// first is the session that goes first, nil where none is left.
+func (q *room) first() *session {
+	for _, row := range []*list.List{&q.answered, &q.strangers, &q.fronts} {
+		if e := row.Front(); e != nil {
+			return e.Value.(*session)
+		}
+	}
+	return nil
+}
+
+// makeRoom closes what may go until descriptors no longer run short.
+func (r *Relay) makeRoom() {
+	for r.tight() {
+		s := r.room.first()
+		if s == nil {
+			return
+		}
+		r.counts.evicted++
+		s.close()
+	}
+}
+
+// tight tells that descriptors run short.
+func (r *Relay) tight() bool {
+	most := r.cfg.Descriptors
+	return most > 0 && r.l.Descriptors() >= most-reserveOwn-most/reservePart
+}
+
+// limit fits the buffers to the memory: all connections may have a slow reader at once.
+func (r *Relay) limit() {
+	r.maxPending = mostPending
+	if r.cfg.Memory > 0 && r.cfg.Descriptors > 0 {
+		each := r.cfg.Memory / pendingPart / int64(r.cfg.Descriptors)
+		r.maxPending = int(min(max(each, leastPending), mostPending))
+	}
+}
+
+// manyIDs is how many ids of requests that are over are remembered.
+const manyIDs = 1024
+
+// ids are those of the requests that the relay has, and of the last that it had.
+type ids struct {
+	seen map[uint64]bool // whether the request is still there
+	past []uint64        // a ring
+	at   int
+}
+
+func newIDs() ids { return ids{seen: map[uint64]bool{}, past: make([]uint64, 0, manyIDs)} }
+
+// take notes a new id. It returns false for one that is known.
+func (i *ids) take(id uint64) bool {
+	if _, known := i.seen[id]; known {
+		return false
+	}
+	i.seen[id] = true
+	return true
+}
+
+// leave notes that the request is over.
+func (i *ids) leave(id uint64) {
+	i.seen[id] = false
+	if len(i.past) < manyIDs {
+		i.past = append(i.past, id)
+		return
+	}
+	delete(i.seen, i.past[i.at])
+	i.past[i.at] = id
+	i.at = (i.at + 1) % manyIDs
+}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"container/list"
 	"errors"
 	"io"
 	"slices"
@@ -24,17 +25,16 @@
 )
 
 const (
-	headTime   = 5 * sec  // for a first line to come whole
+	headTime   = 2 * sec  // for a first line to come whole: a client is owed an answer or an end within 3 s
 	pingTime   = 60 * sec // between the pings of a front
 	resumeTime = 40 * sec
 	lingerTime = 800 * ms  // for a client to take its answer and close
 	leaveTime  = 5 * sec   // for a target to end what its client has ended
 	moveTime   = 900 * ms  // for a line to end where a client is to be moved
 	tooSilent  = 5500 * ms // nothing back for so long: it is ended; with moveTime and a sweep still within 7 s
-	maxPending = 32 << 10  // bytes kept for a slow reader before its sender is left alone
-	maxEarly   = 4 << 10   // bytes kept that a client sends before it is served
+	maxDiscard = 256 << 10 // bytes read and dropped of a client that has its answer; one that sends more is cut off
 	maxWaiting = 64        // lines of a client that are timed at once
-	fairRounds = 32        // reads from one socket before the others have their turn
+	fairRounds = 4         // reads from one socket before the others have their turn
 
 	clientEvery = 2 * sec // clients send a line so often
 	resumeAgain = 250 * ms
@@ -47,9 +47,13 @@
 	ref     loop.Ref // also the request's id at the module
 	in      *loop.Conn
 	phase   phase
-	head    []byte // the first line, and what came with it
-	headLen int    // of the first line with its end
+	head    []byte // the first line, as far as it has come; never more than a line may hold
 	first   line.Open
+	pinged  int           // lines of a front that were answered
+	named   bool          // its id is among those that the relay has seen
+	idle    *list.Element // its place in the waiting room
+	idleIn  *list.List
+	dropped int // bytes that came after its answer
 	class   int
 	due     loop.Micros // when the client gives up
 	hop     *hop
@@ -66,7 +70,8 @@
 }
 
 func (r *Relay) accept(adopt func(loop.Owner) (*loop.Conn, error)) {
-	s := &session{r: r, shedNow: r.tight(reserveShed) || r.sessions.Len() >= r.cfg.Settings.Logic.MostHeld}
+	r.makeRoom()
+	s := &session{r: r, shedNow: r.tight() || r.sessions.Len() >= r.cfg.Settings.Logic.MostHeld}
 	if s.ref = r.sessions.Put(s); s.ref == 0 {
 		return
 	}
@@ -76,6 +81,7 @@
 		return
 	}
 	s.in = conn
+	r.room.enter(s)
 	s.timer = r.l.After(headTime, s.close)
 	s.Readable(conn) // the line has mostly come with the connection
 }
@@ -93,11 +99,8 @@
 // Readable is part of loop.Owner.
 func (s *session) Readable(*loop.Conn) {
 	for range fairRounds {
-		switch {
-		case s.phase == over, s.phase == leaving,
-			s.phase == open && s.hop.conn.Pending() > maxPending,
-			(s.phase == asked || s.phase == resuming) && len(s.head)-s.headLen > maxEarly:
-			return // in the last two cases it is read on once there is room
+		if s.phase == over || s.phase == leaving || s.phase == open && s.hop.conn.Pending() > s.r.maxPending {
+			return // in the last case it is read on once there is room
 		}
 		n, err := s.in.Read(s.r.scratch)
 		if errors.Is(err, loop.ErrAgain) {
@@ -109,48 +112,69 @@
 		}
 		switch b := s.r.scratch[:n]; s.phase {
 		case heading:
-			s.head = append(s.head, b...)
-			s.lines()
+			s.begin(b)
 		case asked, resuming:
-			s.head = append(s.head, b...)
+			s.early()
 		case open:
 			s.forward(b)
+		case ending:
+			if s.dropped += n; s.dropped > maxDiscard {
+				s.close()
+			}
 		}
 	}
 	s.r.l.After(0, func() { s.Readable(s.in) })
 }
 
-// lines reads the first line, or one ping after another.
-func (s *session) lines() {
-	for s.phase == heading {
-		text, n, err := line.Cut(s.head)
-		if err != nil {
-			s.fail()
-			return
-		}
-		if n == 0 {
-			return
-		}
-		switch line.First(text) {
-		case line.Ping:
-			// While it drains, the front is told that nothing new is wanted here.
-			if s.r.drain.on {
-				s.in.Write([]byte("ERR\r\n"))
-			} else {
-				s.in.Write([]byte("PONG\r\n"))
-			}
-			if s.in.Pending() > maxPending {
-				s.close() // pings and does not read
-				return
-			}
-			s.head = slices.Delete(s.head, 0, n)
-			s.arm(pingTime, s.close)
-		case line.OpenLine:
-			s.headLen = n
-			s.ask(text)
-		default:
-			s.fail()
+// begin reads the first line, or one ping after another.
+func (s *session) begin(b []byte) {
+	had, all := len(s.head), len(s.head)+len(b)
+	s.head = append(s.head, b[:min(len(b), line.Max-had)]...)
+	text, n, err := line.Cut(s.head)
+	switch verb := line.First(text); {
+	case err != nil:
+		s.fail()
+	case n == 0:
+		if had == 0 && s.pinged > 0 {
+			s.arm(headTime, s.close) // a further line has begun
 		}
+	case verb == line.Ping && bytes.IndexByte(s.head[n:], '\n') < 0:
+		s.ping(n)
+	case verb == line.OpenLine && n == all:
+		s.ask(text)
+	default:
+		// Also what has more behind it: clients and fronts wait for each answer.
+		s.fail()
+	}
+}
+
+// ping answers a front. While it drains, the front is told that nothing new is wanted here.
+func (s *session) ping(n int) {
+	if s.r.drain.on {
+		s.in.Write([]byte("ERR\r\n"))
+	} else {
+		s.in.Write([]byte("PONG\r\n"))
+	}
+	if s.in.Pending() > s.r.maxPending {
+		s.close() // pings and does not read
+		return
+	}
+	s.pinged++
+	s.r.room.enter(s)
+	if s.head = slices.Delete(s.head, 0, n); len(s.head) == 0 {
+		s.head = nil // it may stay for long, and holds nothing meanwhile
+		s.arm(pingTime, s.close)
+	} else {
+		s.arm(headTime, s.close)
+	}
+}
+
+// early ends a request whose client does not wait for its answer, as every client does. Passed on, what it sends
+// would be taken for lines of a connection that stands.
+func (s *session) early() {
+	s.fail()
+	if s.known {
+		s.withdraw()
 	}
 }
 
@@ -162,33 +186,32 @@
 // ask takes the client's request.
 func (s *session) ask(text []byte) {
 	var err error
-	if s.first, err = line.ParseOpen(text); err != nil {
+	// The id is new for every connection; a target that sees one again answers ERR, whoever used it before.
+	if s.first, err = line.ParseOpen(text); err != nil || !s.r.ids.take(s.first.ID) {
 		s.fail()
 		return
 	}
+	s.named = true
 	if s.class = place(s.r.cfg.Settings.Classes, string(s.first.Class), -1); s.class < 0 {
 		s.fail()
 		return
 	}
 	s.r.counts.taken++
+	s.r.room.leave(s)
 	if s.shedNow || s.r.drain.on {
 		s.shed(shedHold)
 		return
 	}
-	left := s.first.Millis * ms
-	if s.first.Millis < 0 {
-		left = loop.Micros(s.r.cfg.Settings.Logic.Classes[s.class].Deadline)
-	}
 	if len(s.first.At) > 0 {
-		if s.first.Millis < 0 {
-			left = resumeTime
-		}
+		left := min(s.first.Millis*ms, resumeTime)
 		s.due = s.r.l.Now() + left
 		s.phase = resuming
 		s.arm(left, s.fail)
 		s.resume()
 		return
 	}
+	// No client waits longer than its class allows, whatever it says.
+	left := min(s.first.Millis*ms, loop.Micros(s.r.cfg.Settings.Logic.Classes[s.class].Deadline))
 	s.due = s.r.l.Now() + left
 	s.phase, s.known = asked, true
 	// The module answers before; were it ever not to, the client must still get its answer.
@@ -259,6 +282,7 @@
 }
 
 func (s *session) answer(text []byte) {
+	s.head = nil
 	s.in.Write(text)
 	s.finish(logic.Cancelled)
 }
@@ -272,6 +296,7 @@
 	}
 	clientEnded := s.phase == leaving
 	s.phase = ending
+	s.r.room.enter(s)
 	s.in.CloseWrite()
 	s.arm(lingerTime, s.close)
 	if s.hop != nil {
@@ -289,6 +314,10 @@
 	}
 	owed := s.phase == asked || s.phase == open
 	s.phase = over
+	s.r.room.leave(s)
+	if s.named {
+		s.r.ids.leave(s.first.ID)
+	}
 	s.r.l.Cancel(&s.timer)
 	s.in.Close()
 	s.head, s.waiting = nil, nil
@@ -330,7 +359,6 @@
 	s.phase, s.known = open, true
 	s.lastBack, s.verdict = s.r.l.Now(), logic.Reset
 	s.r.l.Cancel(&s.timer)
-	early := s.head[s.headLen:]
 	s.head = nil
 	s.in.Write(up)
 	if resumed {
@@ -339,9 +367,6 @@
 		s.r.tell(logic.Established{ID: uint32(s.ref), Attempt: h.attempt, Server: h.target.Num,
 			Took: logic.Micros(s.r.l.Now() - h.began)})
 	}
-	if s.phase == open && len(early) > 0 {
-		s.forward(early)
-	}
 	if s.phase == open && len(rest) > 0 {
 		s.back(rest)
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -121,6 +121,7 @@
 	open     bool    // the connection stands
 	closed   bool    // answered or withdrawn; only an outcome is awaited
 	ran      *server // server of the first attempt that may have run
+	erred    *server // server that answered an error, until another has judged the request
 	ranAt    Micros
 	lastSent Micros
 	slot     int // place in at.conns while open
@@ -393,6 +394,11 @@
 	if s.health != UnhealthyPending {
 		return
 	}
+	if ev.Status == Moot { // it was never sent, which says nothing of the server
+		b.enter(now, s, Unhealthy)
+		s.validateAt = now + b.around(validateFirst)
+		return
+	}
 	if ev.Status == OK && !b.loaded(ev.Load) {
 		b.connected(now, s)
 	} else {
@@ -668,6 +674,11 @@
 	}
 	b.connected(now, r.at)
 	b.tally(OK, ev.Took)
+	if r.erred != nil && r.erred != r.at {
+		b.tally(ErrorAnswer, 0)
+		b.judge(now, r.erred, ErrorAnswer, false)
+	}
+	r.erred = nil
 	if r.closed {
 		return
 	}
@@ -690,14 +701,26 @@
 		s.pending--
 	}
 	r.at = nil
-	if !wasOpen {
-		b.tally(ev.Status, ev.Took)
+	// An error may be the request's own fault, and one bad client would demote the fleet: another server
+	// judges the request first.
+	unsure := ev.Status == ErrorAnswer && !wasOpen && r.class.Effect == Safe
+	if !unsure {
+		if !wasOpen {
+			b.tally(ev.Status, ev.Took)
+		}
+		b.judge(now, s, ev.Status, wasOpen)
 	}
-	b.judge(now, s, ev.Status, wasOpen)
 	if ev.Closed || r.closed || wasOpen {
 		b.end(r)
 		return
 	}
+	if unsure && r.erred != nil {
+		b.finish(r)
+		return
+	}
+	if unsure {
+		r.erred = s
+	}
 	if ev.Status != ServerFull && ev.Status != ConnectFailed && ev.Status != Moot && r.ran == nil {
 		r.ran, r.ranAt = s, r.lastSent
 	}
