Place by the servers' sizes, fill them at a rate, and no further than they carry in time

Where a server vanished, others were demoted for notes of 17 ms, and the budget of the thinned zone then let in one connection in 7 s: requests waited for their deadline with sound servers at hand, and 57% failed. Ruled out: the sockets (hops took 20 to 50 ms throughout), cold servers, the retry budget. At fault: pick drew all servers alike, though the list tells sizes of 1.5 to 3.5; crowded knew the part that was out but not what a server can take.

Now: the draw is by size; each server is filled at a rate by its size, and what home has no room for goes on to other zones; a server that tells of lateness gets no more than it had until it has been in time for a while. The thinned zone's budget is gone.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -62,12 +62,13 @@
 	failShared = 0.5 // of recent set-ups fail: the cause is shared
 
 	// Cold servers.
-	coldPart   = 0.6      // of the budget that the rule allows is used: others' part and chance take the rest
-	herdMost   = 0.4      // over the part of a zone that ranks lower: the usual parts that a warm server gets
-	lowFree    = 0.03     // with less of a zone ranked lower, warm servers have no budget
-	herdLeast  = 0.1      // a second: the least rate that a balancer without history goes by
-	herdTurn   = 40 * sec // in which all that stands may be placed anew
-	herdBurst  = 1
+	coldPart = 0.6 // of the budget that the rule allows is used: others' part and chance take the rest
+
+	// Filling servers.
+	fillRate   = 3.5 // connections a second that a warm server of mean size gets at most
+	fillBurst  = 8   // and at once
+	mostCut    = 0.9 // of what a server had that could not carry it, it may have again
+	mostGrow   = 0.05
 	rateSpan   = 20 * sec // memory of the arrival rate
 	standSpan  = 60 * sec // memory of the most that stood
 	rateSettle = 10 * sec // a new balancer's rate is taken over no less than this
@@ -99,7 +100,10 @@
 	conns      []*request // connections that stand, in no order that matters but a fixed one
 	window     Micros     // start of the budget's present window
 	left       float64    // work that may still be sent in it
-	delay      float64    // the last delay note, as a multiple of the shortest message aim
+	tokens     float64    // connections that it may get now; see room
+	tokensAt   Micros
+	most       float64 // connections of this balancer's that it seems to carry
+	delay      float64 // the last delay note, as a multiple of the shortest message aim
 	delayAt    Micros
 	lateNotes  int    // notes in a row that told of lateness
 	easing     bool   // the last delay note was lower than the one before
@@ -145,12 +149,10 @@
 	heard    Micros // discovery's last answer
 	probes   int    // validations under way
 
-	tokens   [2]float64 // work that home, and the other zones, may still get while thinned
-	tokensAt [2]Micros
-	low      [2]float64 // part of home, and of the other zones, that ranked lower at the last pick
-	aim      Micros     // the shortest message aim; 0 where none is stated
-	colLoad  int        // place of the load over capacity in reports; below 0 where there is none
-	movedAt  Micros
+	meanUnits float64 // size of a ready server
+	aim       Micros  // the shortest message aim; 0 where none is stated
+	colLoad   int     // place of the load over capacity in reports; below 0 where there is none
+	movedAt   Micros
 
 	brief    float64 // part of recent spells of lateness that were over by the next note
 	failing  float64 // part of recent set-ups that failed
@@ -172,7 +174,7 @@
 func New(s Settings, seed uint64, now Micros) *Balancer {
 	b := &Balancer{set: s, rng: rand.New(rand.NewPCG(seed, 0x726f62696e6c7567)), born: now, rateAt: now,
 		byID: map[uint32]*server{}, reqs: map[uint32]*request{}, retries: retryMost, heard: now,
-		movedAt: now, usualAt: now - standSpan}
+		movedAt: now, usualAt: now - standSpan, meanUnits: 1}
 	b.nextAsk = now + b.jitter(min(askSpread*Micros(max(s.Balancers, 1)), s.AskEvery/2))
 	b.colLoad = slices.Index(s.Columns, "x0")
 	for _, c := range s.Classes {
@@ -322,6 +324,15 @@
 	for _, e := range ev.Entries {
 		b.list(now, e)
 	}
+	units, ready := 0.0, 0.0
+	for _, s := range b.servers {
+		if s.State == Ready {
+			units, ready = units+s.Units, ready+1
+		}
+	}
+	if ready > 0 {
+		b.meanUnits = units / ready
+	}
 	if ev.Kind != Cached {
 		b.asking, b.watching, b.askFails, b.heard = false, true, 0, now
 	}
@@ -331,15 +342,18 @@
 func (b *Balancer) list(now Micros, e Entry) {
 	s := b.byID[e.Server]
 	if s == nil {
-		s = &server{}
+		s = &server{most: math.Inf(1)}
 		b.byID[e.Server] = s
 		b.servers = append(b.servers, s)
 		b.enter(now, s, Unknown)
 	} else if e.Started != s.Started && e.State == Ready {
 		b.enter(now, s, Unknown)
-		s.strikes, s.left = 0, 0
+		s.strikes, s.left, s.most = 0, 0, math.Inf(1)
 	}
 	s.Entry = e
+	if s.Units <= 0 {
+		s.Units = 1 // not told
+	}
 }
 
 // tick does what no event starts: it asks discovery, validates demoted servers from the list at hand, and
@@ -351,6 +365,9 @@
 		b.ask(now)
 	}
 	for _, s := range b.servers {
+		if now-s.delayAt > noteFresh {
+			s.most += max(s.most*mostGrow, 1) * float64(tickEvery) / float64(sec)
+		}
 		if s.State != Ready || s.health != Unhealthy || now < s.validateAt {
 			continue
 		}
@@ -486,33 +503,21 @@
 func (b *Balancer) pick(now Micros, r *request) *server {
 	var best [2][3]*server // home or away, by rank
 	var least [2][3]float64
-	var all, top [2]float64
-	crowded := [2]bool{b.crowded(now, 0), b.crowded(now, 1)}
 	for _, s := range b.servers {
 		if !b.allowed(now, r, s) {
 			continue
 		}
 		zone, rk, share := b.away(s), rank(now, s), b.warmth(now, s)
-		all[zone]++
-		if now < s.shutUntil {
-			continue
-		}
-		if rk == 0 {
-			top[zone] += share
-		}
-		if s.triedBy == r.id+1 || (share >= 1 && crowded[zone]) ||
+		if now < s.shutUntil || s.triedBy == r.id+1 || (share >= 1 && !b.room(now, s)) ||
 			(share < 1 && (zone == 1 || !b.coldRoom(now, s, share))) {
 			continue
 		}
 		// The least of exponential draws with these rates falls on each server by its share.
-		draw := -math.Log(1-b.draw(r, s)) / share
+		draw := -math.Log(1-b.draw(r, s)) / (share * s.Units)
 		if best[zone][rk] == nil || draw < least[zone][rk] {
 			best[zone][rk], least[zone][rk] = s, draw
 		}
 	}
-	for zone := range 2 {
-		b.low[zone] = 1 - top[zone]/max(all[zone], 1)
-	}
 	for rk := range 3 {
 		for zone := range 2 {
 			if best[zone][rk] != nil {
@@ -795,8 +800,12 @@
 	} else if s.lateNotes++; s.lateNotes == 2 {
 		b.brief -= b.brief * briefMemory
 	}
-	switch {
+	switch n := float64(len(s.conns) + s.pending); {
 	case s.delay > slowAt:
+		s.most = min(s.most, n)
+		if s.delay > moveAt {
+			s.most = min(s.most, n*mostCut)
+		}
 		b.demoteSoft(now, s)
 		if s.delay > moveAt {
 			s.shut(now + noteFresh)
@@ -896,20 +905,15 @@
 	return s.left > 0
 }
 
-// crowded tells that a zone's warm servers, thinned by demotion, have had their part: a multiple of what
-// they usually get that falls with the part of the zone that is out. Without it the crowd turned away by the
-// first overloaded servers would push over the others, one by one.
-func (b *Balancer) crowded(now Micros, zone int) bool {
-	if b.low[zone] <= lowFree {
-		b.tokens[zone] = herdBurst
-	} else {
-		rate := max(b.usual(now)*b.size, b.standing*float64(sec)/float64(herdTurn), herdLeast)
-		rate *= herdMost * (1 - b.low[zone]) / b.low[zone]
-		b.tokens[zone] += rate * float64(now-b.tokensAt[zone]) / float64(sec)
-		b.tokens[zone] = min(b.tokens[zone], max(herdBurst, rate))
-	}
-	b.tokensAt[zone] = now
-	return b.tokens[zone] < 1
+// room tells whether s may be sent one more connection now. What a server can carry is not known, and whether
+// it is too much shows only a second or two later: so a crowd that comes back is let in at a rate, each
+// server by its size, and goes on to the other zones where home has had its part. A server that told of
+// lateness gets no more than it had then, or less, until it has been in time for a while.
+func (b *Balancer) room(now Micros, s *server) bool {
+	size := s.Units / b.meanUnits
+	s.tokens += fillRate * size * float64(now-s.tokensAt) / float64(sec)
+	s.tokens, s.tokensAt = min(s.tokens, max(fillBurst*size, 1)), now
+	return b.set.Pass || s.tokens >= 1 && float64(len(s.conns)+s.pending) < s.most
 }
 
 // spend books an attempt on the budget that it falls under. A heavy one leaves a debt; a light one counts
@@ -919,6 +923,6 @@
 	if b.warmth(now, s) < 1 {
 		s.left -= work
 	} else {
-		b.tokens[b.away(s)] -= work
+		s.tokens -= work
 	}
 }
