Keep groups together, loads even, and move by how late a server is for the class

At fault: pick knew neither groups nor what a server carries; moves took any fall of the delay as a sign of its end and moved the same part of its connections at 60 ms as at 1,700.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,7 +45,9 @@
 	slowAt      = 0.35 // of the shortest message aim: a server whose messages take longer is demoted
 	moveAt      = 0.6  // the same, for moving connections away
 	moveSetUp   = 0.4  // of a class's aim: while set-ups take longer, nothing of it is moved
-	moveRate    = 0.3  // of its connections, a second
+	moveRate    = 0.5  // of its connections, a second, times the lateness as a multiple of their aim
+	moveMost    = 1.5  // the same at most
+	easeSpan    = 1.5  // notes from now, in which lateness that falls is over: nothing is moved for it
 	briefMemory = 0.05
 	briefMost   = 0.5     // of spells are over by the next note: one late note moves nothing
 	noteFresh   = 2 * sec // a delay note says nothing after this
@@ -65,10 +67,15 @@
 	coldPart = 0.6 // of the budget that the rule allows is used: others' part and chance take the rest
 
 	// Filling servers.
-	fillRate   = 3.5 // connections a second that a warm server of mean size gets at most
-	fillBurst  = 8   // and at once
-	mostCut    = 0.9 // of what a server had that could not carry it, it may have again
-	mostGrow   = 0.05
+	fillRate   = 3.5  // connections a second that a warm server of mean size gets at most
+	fillBurst  = 8    // and at once
+	mostCut    = 0.9  // of what a server had that could not carry it, it may have again
+	mostGrow   = 0.05 // a second, by which that rises while it is in time
+	mostLeast  = 1.0  // the same, in connections
+	groupBonus = 50   // times as likely is a server that has others of the group
+	groupLoad  = 0.5  // connections that a group counts as, besides its own
+	evenness   = 2.0  // how strongly a server's load tells against it
+
 	rateSpan   = 20 * sec // memory of the arrival rate
 	standSpan  = 60 * sec // memory of the most that stood
 	rateSettle = 10 * sec // a new balancer's rate is taken over no less than this
@@ -96,19 +103,20 @@
 	strikes    int       // demotions in a row without forgiveAfter of good service
 	validateAt Micros    // when an Unhealthy server may be validated
 	probing    bool
-	pending    int        // attempts under way
-	conns      []*request // connections that stand, in no order that matters but a fixed one
-	window     Micros     // start of the budget's present window
-	left       float64    // work that may still be sent in it
-	tokens     float64    // connections that it may get now; see room
+	pending    int            // attempts under way
+	groups     map[uint64]int // how many of them each group has
+	conns      []*request     // connections that stand, in no order that matters but a fixed one
+	window     Micros         // start of the budget's present window
+	left       float64        // work that may still be sent in it
+	tokens     float64        // connections that it may get now; see room
 	tokensAt   Micros
 	most       float64 // connections of this balancer's that it seems to carry
 	delay      float64 // the last delay note, as a multiple of the shortest message aim
 	delayAt    Micros
-	lateNotes  int    // notes in a row that told of lateness
-	easing     bool   // the last delay note was lower than the one before
-	shutUntil  Micros // nothing new until then
-	triedBy    uint32 // request that has tried it last, plus one
+	lateNotes  int     // notes in a row that told of lateness
+	fall       float64 // by so much the last delay note was lower than the one before
+	shutUntil  Micros  // nothing new until then
+	triedBy    uint32  // request that has tried it last, plus one
 }
 
 // request is one client request that this balancer has taken, until its last outcome.
@@ -117,6 +125,7 @@
 	class    Class
 	tenant   int
 	key      uint64
+	group    uint64
 	due      Micros // the final answer leaves by then
 	work     float64
 	sent     int     // attempts made
@@ -342,7 +351,7 @@
 func (b *Balancer) list(now Micros, e Entry) {
 	s := b.byID[e.Server]
 	if s == nil {
-		s = &server{most: math.Inf(1)}
+		s = &server{most: math.Inf(1), groups: map[uint64]int{}}
 		b.byID[e.Server] = s
 		b.servers = append(b.servers, s)
 		b.enter(now, s, Unknown)
@@ -366,7 +375,7 @@
 	}
 	for _, s := range b.servers {
 		if now-s.delayAt > noteFresh {
-			s.most += max(s.most*mostGrow, 1) * float64(tickEvery) / float64(sec)
+			s.most += max(s.most*mostGrow, mostLeast) * float64(tickEvery) / float64(sec)
 		}
 		if s.State != Ready || s.health != Unhealthy || now < s.validateAt {
 			continue
@@ -513,7 +522,7 @@
 			continue
 		}
 		// The least of exponential draws with these rates falls on each server by its share.
-		draw := -math.Log(1-b.draw(r, s)) / (share * s.Units)
+		draw := -math.Log(1-b.draw(r, s)) / (share * b.appeal(r, s))
 		if best[zone][rk] == nil || draw < least[zone][rk] {
 			best[zone][rk], least[zone][rk] = s, draw
 		}
@@ -528,6 +537,22 @@
 	return nil
 }
 
+// appeal is how likely s is to be picked for r, beside the others: by its size, less for what it carries
+// already, and much more where it has connections of r's group, whose work it then does only once. Where
+// connections pass through it is the size alone, which every proxy sees alike.
+func (b *Balancer) appeal(r *request, s *server) float64 {
+	size := s.Units / b.meanUnits
+	if b.set.Pass {
+		return size
+	}
+	load := float64(len(s.conns)+s.pending) + groupLoad*float64(len(s.groups))
+	appeal := size * math.Pow(1+load/size, -evenness)
+	if s.groups[r.group] > 0 {
+		appeal *= groupBonus
+	}
+	return appeal
+}
+
 // draw is a random number from 0 to 1; where connections pass through, it is drawn from the key, so that
 // every proxy draws alike and a connection that changes proxies finds its server.
 func (b *Balancer) draw(r *request, s *server) float64 {
@@ -546,7 +571,7 @@
 	if b.reqs[ev.ID] != nil {
 		return nil
 	}
-	r := &request{id: ev.ID, tenant: ev.Tenant, key: ev.Key, returned: ev.Returned, work: 1,
+	r := &request{id: ev.ID, tenant: ev.Tenant, key: ev.Key, group: ev.Group, returned: ev.Returned, work: 1,
 		due: now + ev.Left - answerLead, class: Class{Effect: Unsafe}}
 	if ev.Class < len(b.set.Classes) {
 		r.class = b.set.Classes[ev.Class]
@@ -585,6 +610,9 @@
 
 func (b *Balancer) stand(r *request) {
 	r.open, r.slot = true, len(r.at.conns)
+	if r.group != 0 {
+		r.at.groups[r.group]++
+	}
 	b.standNow += r.work
 	r.at.conns = append(r.at.conns, r)
 }
@@ -595,6 +623,9 @@
 	last := conns[len(conns)-1]
 	conns[r.slot], last.slot = last, r.slot
 	r.at.conns = conns[:len(conns)-1]
+	if r.at.groups[r.group]--; r.at.groups[r.group] <= 0 {
+		delete(r.at.groups, r.group)
+	}
 	r.open = false
 }
 
@@ -791,7 +822,7 @@
 		was, s.lateNotes = 0, 0
 	}
 	s.delay, s.delayAt = ev.Value*float64(ms)/float64(b.aim), now
-	s.easing = s.delay < was*0.95
+	s.fall = max(was-s.delay, 0)
 	if s.delay <= moveAt {
 		if s.lateNotes == 1 {
 			b.brief += (1 - b.brief) * briefMemory
@@ -815,22 +846,24 @@
 	}
 }
 
-// moves takes connections off servers whose messages have been late, a part at a time. Where most spells of
-// lateness are over by the next note, servers stand still for moments: then a second late note is waited for.
+// moves takes connections off servers whose messages have been late, a part at a time, the larger the later
+// they are for the connection's class. Where most spells of lateness are over by the next note, servers stand
+// still for moments: then a second late note is waited for. Where it falls, it is left alone if it will soon
+// be in time by itself.
 func (b *Balancer) moves(now Micros) {
+	since := float64(now-b.movedAt) / float64(sec)
 	for _, s := range b.servers {
-		if !late(now, s) || s.easing || (s.lateNotes < 2 && b.brief > briefMost) || len(s.conns) == 0 {
+		if !late(now, s) || (s.lateNotes < 2 && b.brief > briefMost) {
 			continue
 		}
-		part := moveRate * float64(len(s.conns)) * float64(now-b.movedAt) / float64(sec)
-		n := int(part)
-		if b.rng.Float64() < part-float64(n) {
-			n++
-		}
-		for ; n > 0 && len(s.conns) > 0; n-- {
-			r := s.conns[b.rng.IntN(len(s.conns))]
-			if float64(r.class.MessageAim)*moveAt < s.delay*float64(b.aim) &&
-				b.setUp < moveSetUp*float64(r.class.Aim) {
+		for i := len(s.conns) - 1; i >= 0; i-- {
+			r := s.conns[i]
+			if r.class.MessageAim <= 0 || b.setUp >= moveSetUp*float64(r.class.Aim) {
+				continue
+			}
+			scale := float64(b.aim) / float64(r.class.MessageAim)
+			over, soon := s.delay*scale, (s.delay-easeSpan*s.fall)*scale
+			if over > moveAt && soon > moveAt && b.rng.Float64() < min(moveRate*over, moveMost)*since {
 				b.move(r)
 			}
 		}
