Set up no more at once than goes quickly, and spread a drain's moves over all its time

Checked: the servers were in time throughout (notes of 16 to 27 ms), so it is what all set-ups share, the session store. Ruled out: the sockets, and discovery, whose lists came 0.1 s after each SIGHUP. At fault: drainSpread 0.55; place had a limit for each server but none for all.

Now: the number of set-ups at once follows how long two thirds of them take; the moves of a drain are spread over the longest deadline, and SIGKILL comes 0.7 s after that.

--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -9,7 +9,7 @@
 	drainMost   = 3 * sec  // deadlines count for no more at a planned restart
 	drainLeast  = 600 * ms // new connections come for so long after SIGTERM
 	drainFirst  = 50 * ms
-	drainSpread = 0.55 // of the longest deadline: the clients moved away come back spread over that
+	drainSpread = 1.0 // of the longest deadline: the clients moved away come back spread over that
 	drainAnswer = 200 * ms
 	drainRoom   = 450 * ms // beyond the longest deadline; SIGKILL comes 0.7 s beyond it
 	drainLook   = 20 * ms
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -63,6 +63,14 @@
 	setUpLeast = 1000
 	failShared = 0.5 // of recent set-ups fail: the cause is shared
 
+	// Set-ups at once.
+	widthAt    = 200 * ms // set-ups that take longer wait for something that all share: fewer at once
+	widthCut   = 0.8      // for each that ends while they do
+	widthGrow  = 1.0      // for each that ends while they don't
+	widthLeast = 2.0
+	widthMost  = 40.0
+	widthStart = 12.0
+
 	// Cold servers.
 	coldPart = 0.6 // of the budget that the rule allows is used: others' part and chance take the rest
 
@@ -121,23 +129,24 @@
 
 // request is one client request that this balancer has taken, until its last outcome.
 type request struct {
-	id       uint32
-	class    Class
-	tenant   int
-	key      uint64
-	group    uint64
-	due      Micros // the final answer leaves by then
-	work     float64
-	sent     int     // attempts made
-	at       *server // server of the attempt under way or of the connection
-	returned bool    // its client came back after a break or a move
-	open     bool    // the connection stands
-	closed   bool    // answered or withdrawn; only an outcome is awaited
-	ran      *server // server of the first attempt that may have run
-	erred    *server // server that answered an error, until another has judged the request
-	ranAt    Micros
-	lastSent Micros
-	slot     int // place in at.conns while open
+	id        uint32
+	class     Class
+	tenant    int
+	key       uint64
+	group     uint64
+	due       Micros // the final answer leaves by then
+	work      float64
+	sent      int     // attempts made
+	at        *server // server of the attempt under way or of the connection
+	returned  bool    // its client came back after a break or a move
+	open      bool    // the connection stands
+	settingUp bool    // an attempt is under way
+	closed    bool    // answered or withdrawn; only an outcome is awaited
+	ran       *server // server of the first attempt that may have run
+	erred     *server // server that answered an error, until another has judged the request
+	ranAt     Micros
+	lastSent  Micros
+	slot      int // place in at.conns while open
 }
 
 // Balancer decides for one proxy.
@@ -163,27 +172,29 @@
 	colLoad   int     // place of the load over capacity in reports; below 0 where there is none
 	movedAt   Micros
 
-	brief    float64 // part of recent spells of lateness that were over by the next note
-	failing  float64 // part of recent set-ups that failed
-	setUp    float64 // two thirds of recent set-ups were quicker
-	retries  float64
-	rate     float64 // connections set up, as work, with memory rateSpan
-	rateAt   Micros
-	size     float64 // of home, or an average zone: the most lately
-	standNow float64 // work that stands now
-	standing float64 // the most that stood lately
-	fill     float64 // work a second that a cold server may be filled with, once it is warm
-	usualWas float64
-	usualAt  Micros
-	meanWork float64 // mean hint
-	hints    float64
+	brief     float64 // part of recent spells of lateness that were over by the next note
+	failing   float64 // part of recent set-ups that failed
+	settingUp int     // attempts under way
+	width     float64 // how many there may be
+	setUp     float64 // two thirds of recent set-ups were quicker
+	retries   float64
+	rate      float64 // connections set up, as work, with memory rateSpan
+	rateAt    Micros
+	size      float64 // of home, or an average zone: the most lately
+	standNow  float64 // work that stands now
+	standing  float64 // the most that stood lately
+	fill      float64 // work a second that a cold server may be filled with, once it is warm
+	usualWas  float64
+	usualAt   Micros
+	meanWork  float64 // mean hint
+	hints     float64
 }
 
 // New returns a balancer that has just started.
 func New(s Settings, seed uint64, now Micros) *Balancer {
 	b := &Balancer{set: s, rng: rand.New(rand.NewPCG(seed, 0x726f62696e6c7567)), born: now, rateAt: now,
 		byID: map[uint32]*server{}, reqs: map[uint32]*request{}, retries: retryMost, heard: now,
-		movedAt: now, usualAt: now - standSpan, meanUnits: 1}
+		movedAt: now, usualAt: now - standSpan, meanUnits: 1, width: widthStart}
 	b.nextAsk = now + b.jitter(min(askSpread*Micros(max(s.Balancers, 1)), s.AskEvery/2))
 	b.colLoad = slices.Index(s.Columns, "x0")
 	for _, c := range s.Classes {
@@ -636,7 +647,10 @@
 		b.finish(r)
 		return
 	}
-	s := b.pick(now, r)
+	var s *server
+	if b.set.Pass || float64(b.settingUp) < b.width {
+		s = b.pick(now, r)
+	}
 	if s == nil {
 		b.timer(min(b.around(holdStep), left), timerHold|uint64(r.id))
 		return
@@ -646,6 +660,8 @@
 	}
 	b.spend(now, s, r)
 	s.pending++
+	r.settingUp = true
+	b.settingUp++
 	s.triedBy = r.id + 1
 	r.sent++
 	r.at, r.lastSent = s, now
@@ -708,6 +724,7 @@
 	if r == nil || r.at == nil || r.open || ev.Attempt != r.sent-1 || r.at.Server != ev.Server {
 		return
 	}
+	b.setUpOver(r)
 	b.connected(now, r.at)
 	b.tally(OK, ev.Took)
 	if r.erred != nil && r.erred != r.at {
@@ -730,6 +747,7 @@
 	if r == nil || r.at == nil || ev.Attempt != r.sent-1 || r.at.Server != ev.Server {
 		return
 	}
+	b.setUpOver(r)
 	s, wasOpen := r.at, r.open
 	if wasOpen {
 		b.fall(r)
@@ -779,6 +797,21 @@
 			b.setUp /= setUpFall
 		}
 		b.setUp = max(b.setUp, setUpLeast)
+		// A crowd that comes back at once outruns the store: tried all at once, each would take too long
+		// and be tried again, which keeps the store busy with what nobody waits for any more.
+		if b.setUp > float64(widthAt) {
+			b.width = max(b.width*widthCut, widthLeast)
+		} else {
+			b.width = min(b.width+widthGrow, widthMost)
+		}
+	}
+}
+
+// setUpOver notes that r's attempt is no longer being set up.
+func (b *Balancer) setUpOver(r *request) {
+	if r.settingUp {
+		r.settingUp = false
+		b.settingUp--
 	}
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -67,6 +67,7 @@
 
 // ask brings one request and returns where it went, or 0. It comes when servers have room for it.
 func (g *rig) ask() (id, server uint32) {
+	g.b.width = math.Inf(1)
 	for _, s := range g.b.servers {
 		s.tokens, s.tokensAt = fillBurst, g.now
 	}
@@ -736,6 +737,7 @@
 	list := fleet(2, 1)
 	list[0].Units, list[1].Units, list[2].Units = 3, 1, 2
 	g := newRig(t, settings(), list)
+	g.b.width = math.Inf(1)
 	got := map[uint32]int{}
 	crowd := func() {
 		for range 100 {
@@ -755,6 +757,39 @@
 	}
 }
 
+// Set-ups that take long wait for something that all share, so fewer go at once; a few servers that hang don't count.
+func TestSetUpsAtOnce(t *testing.T) {
+	atOnce := func(took Micros, hung int) int {
+		g := newRig(t, settings(), fleet(10, 0))
+		for i := range 60 {
+			g.now += 200 * ms
+			id, s := g.askNow()
+			if s == 0 {
+				t.Fatalf("%d was not sent", id)
+			}
+			if i%5 < hung {
+				g.outcome(id, s, 0, TimedOut)
+				g.do(Withdrawn{id})
+				continue
+			}
+			g.do(Established{ID: id, Server: s, Took: took})
+		}
+		n := 0
+		for range 100 {
+			if _, s := g.askNow(); s != 0 {
+				n++
+			}
+		}
+		return n
+	}
+	if quick, slow := atOnce(30*ms, 0), atOnce(400*ms, 0); quick != widthMost || slow != widthLeast {
+		t.Errorf("%d at once where they are quick, %d where they are slow", quick, slow)
+	}
+	if n := atOnce(30*ms, 1); n < widthMost/2 {
+		t.Errorf("%d at once where one of ten hangs", n)
+	}
+}
+
 // A server that says that its messages are late gets no more than it had, until they have been in time for a while.
 func TestLateServerGetsNoMoreThanItHad(t *testing.T) {
 	g := newRig(t, settings(), fleet(2, 0))
