Let in more slowly while part of the fleet is out; no move without a place to go

At fault: room let in the same however much of the fleet was out; moves asked for no place; pick sent nothing to cold servers of other zones; judge demoted and shut a server for a single reset.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -20,7 +20,7 @@
 	longUnhealthy  = 10 * sec // Unhealthy so long: the next placement starts a refresh (the note's minute)
 	pendingLapse   = 10 * sec // UnhealthyPending for so long ranks with Connected again (the note's minute)
 	validateFirst  = 1 * sec  // from a demotion to its validation
-	validateLast   = 12 * sec // the same after many relapses, each of which doubles it
+	validateLast   = 6 * sec  // the same after many relapses, each of which doubles it
 	forgiveAfter   = 10 * sec // a server that stayed Connected so long starts again at validateFirst
 	probeCap       = 4        // validations under way at once
 	softDemotedMax = 0.5      // share of home above which slowness is shared, no server's fault
@@ -42,19 +42,19 @@
 	retryMost  = 20.0
 
 	// Slow servers.
-	slowAt      = 0.35 // of the shortest message aim: a server whose messages take longer is demoted
-	moveAt      = 0.6  // the same, for moving connections away
-	moveSetUp   = 0.4  // of a class's aim: while set-ups take longer, nothing of it is moved
-	moveRate    = 0.5  // of its connections, a second, times the lateness as a multiple of their aim
-	moveMost    = 1.5  // the same at most
-	easeSpan    = 1.5  // notes from now, in which lateness that falls is over: nothing is moved for it
-	briefMemory = 0.05
-	briefMost   = 0.5     // of spells are over by the next note: one late note moves nothing
-	noteFresh   = 2 * sec // a delay note says nothing after this
+	slowAt    = 0.35    // of the shortest message aim: a server whose messages take longer is demoted
+	moveAt    = 0.6     // the same, for moving connections away
+	moveSetUp = 0.4     // of a class's aim: while set-ups take longer, nothing of it is moved
+	moveRate  = 0.25    // of its connections, a second, times the lateness as a multiple of their aim
+	shedAt    = 1.5     // of a class aim: moved though no other server has room
+	moveMost  = 1.5     // the same at most
+	easeSpan  = 1.5     // notes from now, in which lateness that falls is over: nothing is moved for it
+	noteFresh = 2 * sec // a delay note says nothing after this
 
 	loadFull   = 0.85     // of its capacity asked: no validation
 	fullPause  = 300 * ms // nothing new to a server that turned an attempt away as full
 	resetPause = 2 * sec  // the same after a reset
+	resetPair  = 1 * sec  // two resets within this are the doing of the server
 
 	// Shared faults.
 	failMemory = 0.1
@@ -72,11 +72,12 @@
 	widthStart = 12.0
 
 	// Cold servers.
-	coldPart = 0.6 // of the budget that the rule allows is used: others' part and chance take the rest
 
 	// Filling servers.
 	fillRate   = 3.5  // connections a second that a warm server of mean size gets at most
 	fillBurst  = 8    // and at once
+	thinPart   = 0.07 // of the fleet is out: what comes back is more than the rest had
+	thinFill   = 0.4  // of the rate and the burst then
 	mostCut    = 0.9  // of what a server had that could not carry it, it may have again
 	mostGrow   = 0.05 // a second, by which that rises while it is in time
 	mostLeast  = 1.0  // the same, in connections
@@ -84,14 +85,16 @@
 	groupLoad  = 0.5  // connections that a group counts as, besides its own
 	evenness   = 2.0  // how strongly a server's load tells against it
 
-	rateSpan   = 20 * sec // memory of the arrival rate
-	standSpan  = 60 * sec // memory of the most that stood
-	rateSettle = 10 * sec // a new balancer's rate is taken over no less than this
+	standSpan = 60 * sec // memory of the most that stood
 
 	ms  Micros = 1000
 	sec Micros = 1000 * ms
 )
 
+// coldPart is what is used of the budget that the rule allows, at home and away: others' part and chance take
+// the rest.
+var coldPart = [2]float64{0.6, 0.2}
+
 // Health is what a balancer thinks of a server.
 type Health uint8
 
@@ -111,6 +114,7 @@
 	strikes    int       // demotions in a row without forgiveAfter of good service
 	validateAt Micros    // when an Unhealthy server may be validated
 	probing    bool
+	failed     bool           // demoted for a failure, not for slowness
 	pending    int            // attempts under way
 	groups     map[uint64]int // how many of them each group has
 	conns      []*request     // connections that stand, in no order that matters but a fixed one
@@ -121,9 +125,9 @@
 	most       float64 // connections of this balancer's that it seems to carry
 	delay      float64 // the last delay note, as a multiple of the shortest message aim
 	delayAt    Micros
-	lateNotes  int     // notes in a row that told of lateness
 	fall       float64 // by so much the last delay note was lower than the one before
 	shutUntil  Micros  // nothing new until then
+	resetAt    Micros  // the last reset by it
 	triedBy    uint32  // request that has tried it last, plus one
 }
 
@@ -138,7 +142,6 @@
 	work      float64
 	sent      int     // attempts made
 	at        *server // server of the attempt under way or of the connection
-	returned  bool    // its client came back after a break or a move
 	open      bool    // the connection stands
 	settingUp bool    // an attempt is under way
 	closed    bool    // answered or withdrawn; only an outcome is awaited
@@ -167,34 +170,32 @@
 	heard    Micros // discovery's last answer
 	probes   int    // validations under way
 
+	unitsMost float64 // the most that was there lately
+	thin      bool    // less of it is there now
 	meanUnits float64 // size of a ready server
 	aim       Micros  // the shortest message aim; 0 where none is stated
 	colLoad   int     // place of the load over capacity in reports; below 0 where there is none
 	movedAt   Micros
 
-	brief     float64 // part of recent spells of lateness that were over by the next note
 	failing   float64 // part of recent set-ups that failed
 	settingUp int     // attempts under way
 	width     float64 // how many there may be
 	setUp     float64 // two thirds of recent set-ups were quicker
 	retries   float64
-	rate      float64 // connections set up, as work, with memory rateSpan
-	rateAt    Micros
 	size      float64 // of home, or an average zone: the most lately
 	standNow  float64 // work that stands now
 	standing  float64 // the most that stood lately
 	fill      float64 // work a second that a cold server may be filled with, once it is warm
-	usualWas  float64
-	usualAt   Micros
+	counted   Micros  // when census looked last
 	meanWork  float64 // mean hint
 	hints     float64
 }
 
 // New returns a balancer that has just started.
 func New(s Settings, seed uint64, now Micros) *Balancer {
-	b := &Balancer{set: s, rng: rand.New(rand.NewPCG(seed, 0x726f62696e6c7567)), born: now, rateAt: now,
+	b := &Balancer{set: s, rng: rand.New(rand.NewPCG(seed, 0x726f62696e6c7567)), born: now,
 		byID: map[uint32]*server{}, reqs: map[uint32]*request{}, retries: retryMost, heard: now,
-		movedAt: now, usualAt: now - standSpan, meanUnits: 1, width: widthStart}
+		movedAt: now, counted: now, meanUnits: 1, width: widthStart}
 	b.nextAsk = now + b.jitter(min(askSpread*Micros(max(s.Balancers, 1)), s.AskEvery/2))
 	b.colLoad = slices.Index(s.Columns, "x0")
 	for _, c := range s.Classes {
@@ -276,6 +277,7 @@
 
 // connected notes that a connection, an answer or a validation succeeded.
 func (b *Balancer) connected(now Micros, s *server) {
+	s.failed = false
 	if s.health != Connected {
 		b.enter(now, s, Connected)
 	}
@@ -291,6 +293,8 @@
 		s.strikes = 0
 	}
 	b.enter(now, s, Unhealthy)
+	s.failed = true
+	b.census(now)
 	wait := min(validateFirst<<min(s.strikes, 8), validateLast)
 	s.strikes++
 	s.validateAt = now + b.around(wait)
@@ -308,8 +312,10 @@
 			}
 		}
 	}
-	if float64(low+1) <= softDemotedMax*float64(all) {
+	if float64(low+1) <= softDemotedMax*float64(all) && s.health != Unhealthy {
 		b.demote(now, s)
+		s.failed = false
+		b.census(now)
 	}
 }
 
@@ -380,7 +386,7 @@
 // moves connections.
 func (b *Balancer) tick(now Micros) {
 	b.timer(b.around(tickEvery), timerTick)
-	b.usual(now)
+	b.census(now)
 	if b.set.Ask && now >= b.nextAsk && (!b.watching || b.asking) {
 		b.ask(now)
 	}
@@ -528,8 +534,8 @@
 			continue
 		}
 		zone, rk, share := b.away(s), rank(now, s), b.warmth(now, s)
-		if now < s.shutUntil || s.triedBy == r.id+1 || (share >= 1 && !b.room(now, s)) ||
-			(share < 1 && (zone == 1 || !b.coldRoom(now, s, share))) {
+		if now < s.shutUntil || s.triedBy == r.id+1 || !b.room(now, s) ||
+			(share < 1 && !b.coldRoom(now, s, share)) {
 			continue
 		}
 		// The least of exponential draws with these rates falls on each server by its share.
@@ -582,7 +588,7 @@
 	if b.reqs[ev.ID] != nil {
 		return nil
 	}
-	r := &request{id: ev.ID, tenant: ev.Tenant, key: ev.Key, group: ev.Group, returned: ev.Returned, work: 1,
+	r := &request{id: ev.ID, tenant: ev.Tenant, key: ev.Key, group: ev.Group, work: 1,
 		due: now + ev.Left - answerLead, class: Class{Effect: Unsafe}}
 	if ev.Class < len(b.set.Classes) {
 		r.class = b.set.Classes[ev.Class]
@@ -737,9 +743,6 @@
 	}
 	r.at.pending--
 	b.stand(r)
-	if !r.returned {
-		b.carried(now, r.work)
-	}
 }
 
 func (b *Balancer) onOutcome(now Micros, ev Outcome) {
@@ -829,9 +832,13 @@
 	case ServerFull:
 		s.shut(now + b.around(fullPause))
 	case Reset:
-		// Servers with too much piled up drop connections; one that died is shut with as much reason.
-		b.demote(now, s)
-		s.shut(now + b.around(resetPause))
+		// Servers with too much piled up drop connections; one that died is shut with as much reason. A
+		// single one may as well be the network's doing.
+		if now-s.resetAt < resetPair {
+			b.demote(now, s)
+			s.shut(now + b.around(resetPause))
+		}
+		s.resetAt = now
 	case ConnectFailed:
 		b.demote(now, s)
 	case ErrorAnswer:
@@ -852,18 +859,10 @@
 	}
 	was := s.delay
 	if now-s.delayAt > noteFresh {
-		was, s.lateNotes = 0, 0
+		was = 0
 	}
 	s.delay, s.delayAt = ev.Value*float64(ms)/float64(b.aim), now
 	s.fall = max(was-s.delay, 0)
-	if s.delay <= moveAt {
-		if s.lateNotes == 1 {
-			b.brief += (1 - b.brief) * briefMemory
-		}
-		s.lateNotes = 0
-	} else if s.lateNotes++; s.lateNotes == 2 {
-		b.brief -= b.brief * briefMemory
-	}
 	switch n := float64(len(s.conns) + s.pending); {
 	case s.delay > slowAt:
 		s.most = min(s.most, n)
@@ -880,13 +879,12 @@
 }
 
 // moves takes connections off servers whose messages have been late, a part at a time, the larger the later
-// they are for the connection's class. Where most spells of lateness are over by the next note, servers stand
-// still for moments: then a second late note is waited for. Where it falls, it is left alone if it will soon
-// be in time by itself.
+// they are for the connection's class. Where lateness falls, a server is left alone if it will soon be in
+// time by itself. Nothing is moved without a place to go, unless so late that staying is worth nothing.
 func (b *Balancer) moves(now Micros) {
-	since := float64(now-b.movedAt) / float64(sec)
+	since, free := float64(now-b.movedAt)/float64(sec), b.free(now)
 	for _, s := range b.servers {
-		if !late(now, s) || (s.lateNotes < 2 && b.brief > briefMost) {
+		if !late(now, s) {
 			continue
 		}
 		for i := len(s.conns) - 1; i >= 0; i-- {
@@ -896,14 +894,28 @@
 			}
 			scale := float64(b.aim) / float64(r.class.MessageAim)
 			over, soon := s.delay*scale, (s.delay-easeSpan*s.fall)*scale
-			if over > moveAt && soon > moveAt && b.rng.Float64() < min(moveRate*over, moveMost)*since {
+			if over > moveAt && soon > moveAt && (free >= 1 || over > shedAt) &&
+				b.rng.Float64() < min(moveRate*over, moveMost)*since {
 				b.move(r)
+				free--
 			}
 		}
 	}
 	b.movedAt = now
 }
 
+// free tells how many connections the servers that are in time have room for now: one that is moved and then
+// finds no place is worse off than on a late server.
+func (b *Balancer) free(now Micros) float64 {
+	free := 0.0
+	for _, s := range b.servers {
+		if s.State == Ready && now >= s.shutUntil && rank(now, s) == 0 && !late(now, s) && b.room(now, s) {
+			free += min(s.tokens, s.most-float64(len(s.conns)+s.pending))
+		}
+	}
+	return free
+}
+
 // move ends a connection politely; its client comes again.
 func (b *Balancer) move(r *request) {
 	b.do(Move{r.id})
@@ -914,43 +926,31 @@
 
 // ---- Cold budget ----
 
-// carried feeds the rate of work that servers took. Arrivals would not do: clients that come again and again
-// swell them just when a zone comes back cold, as do those that were moved or cut off.
-func (b *Balancer) carried(now Micros, work float64) {
-	b.rate = b.rate*math.Exp(-float64(now-b.rateAt)/float64(rateSpan)) + work
-	b.rateAt = now
-}
-
-// usual is the work a second that this balancer sends a server of its home zone in calm times. A home that
-// has just lost its servers counts as large as it was, and no smaller than the average: dividing by the few
-// that are left, or the first that return, would grant each of them all that the zone carried.
-func (b *Balancer) usual(now Micros) float64 {
-	if now-b.usualAt < tickEvery {
-		return b.usualWas
-	}
-	home, all := 0, 0
+// census looks how much of the fleet is there, and what a cold server may be filled with. With a part of the
+// fleet gone, what comes back is more than the rest had, and is let in more slowly. A home that has just lost
+// its servers counts as large as it was, and no smaller than the average: dividing by the few that are left,
+// or the first that return, would grant each of them all that the zone carried.
+func (b *Balancer) census(now Micros) {
+	home, all, units := 0.0, 0.0, 0.0
 	for _, s := range b.servers {
 		if s.State != Ready {
 			continue
 		}
 		all++
-		if int(s.Zone) == b.set.Zone {
-			home++
-		}
-	}
-	fade := 1 - float64(now-b.usualAt)/float64(standSpan)
-	n := max(float64(home), float64(all)/float64(max(b.set.Zones, 1)), b.size*fade, 1)
-	b.size = n
-	seen := 1 - math.Exp(-float64(max(now-b.born, rateSettle))/float64(rateSpan))
-	faded := b.rate * math.Exp(-float64(now-b.rateAt)/float64(rateSpan))
-	rate := faded / (seen * float64(rateSpan) / float64(sec))
-	// A cold server may be filled over its warm-up: what one carries, spread over that. New connections
-	// alone would not do where connections live long: then nearly all that a release or a zone's return
-	// brings are old clients coming back, and their servers would get next to nothing.
+		home += float64(1 - b.away(s))
+		if !s.failed {
+			units += s.Units * b.warmth(now, s)
+		}
+	}
+	fade := max(1-float64(now-b.counted)/float64(standSpan), 0)
+	b.counted = now
+	b.unitsMost = max(units, b.unitsMost*fade)
+	b.thin = units < b.unitsMost*(1-thinPart)
+	b.size = max(home, all/float64(max(b.set.Zones, 1)), b.size*fade, 1)
+	// What a server carries, spread over its warm-up. New connections alone would not do where they live
+	// long: then nearly all that a release or a zone's return brings are old clients coming back.
 	b.standing = max(b.standing*fade, b.standNow, 0)
-	b.fill = max(rate, b.standing*float64(sec)/float64(b.set.Cold)) / n
-	b.usualWas, b.usualAt = rate/n, now
-	return b.usualWas
+	b.fill = b.standing * float64(sec) / float64(b.set.Cold) / b.size
 }
 
 // coldRoom tells whether a cold server's budget has room. It is this balancer's part of what the rule lets
@@ -960,8 +960,9 @@
 func (b *Balancer) coldRoom(now Micros, s *server, warmth float64) bool {
 	if now-s.window >= b.set.TipAfter {
 		s.window = now
-		b.usual(now)
-		part := coldPart * b.set.OverloadFactor * warmth * b.fill * float64(b.set.TipAfter) / float64(sec)
+		b.census(now)
+		part := coldPart[b.away(s)] * s.Units / b.meanUnits * b.set.OverloadFactor * warmth * b.fill *
+			float64(b.set.TipAfter) / float64(sec)
 		whole := math.Floor(part)
 		if b.rng.Float64() < part-whole {
 			whole++
@@ -977,9 +978,14 @@
 // lateness gets no more than it had then, or less, until it has been in time for a while.
 func (b *Balancer) room(now Micros, s *server) bool {
 	size := s.Units / b.meanUnits
-	s.tokens += fillRate * size * float64(now-s.tokensAt) / float64(sec)
-	s.tokens, s.tokensAt = min(s.tokens, max(fillBurst*size, 1)), now
-	return b.set.Pass || s.tokens >= 1 && float64(len(s.conns)+s.pending) < s.most
+	rate, burst := fillRate*size, fillBurst*size
+	if b.thin {
+		rate, burst = rate*thinFill, burst*thinFill
+	}
+	s.tokens += rate * float64(now-s.tokensAt) / float64(sec)
+	s.tokens, s.tokensAt = min(s.tokens, max(burst, 1)), now
+	n := float64(len(s.conns) + s.pending)
+	return b.set.Pass || n < s.most && s.tokens >= 1
 }
 
 // spend books an attempt on the budget that it falls under. A heavy one leaves a debt; a light one counts
@@ -989,6 +995,6 @@
 	if b.warmth(now, s) < 1 {
 		s.left -= work
 	} else {
-		s.tokens -= work
+		s.tokens = max(s.tokens-work, 0)
 	}
 }
