Let in more slowly only what a server's end brings back; ask discovery again sooner

Ruled out: discovery's move, whose lists came in time; the set-ups at once. At fault: room took the fleet's thinness for that of the crowd. Now each connection that a server ended is one that may come back, and only so many requests that returned cost more of the filling rate.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,7 +1,6 @@
 // Package logic makes the decisions of a balancer for long-lived connections: where each request goes, when
 // it is tried again, refused or failed, which servers are trusted, and when discovery and servers are asked.
-// Its settings, events and actions are in api.go. It has no clock, goroutine, global or I/O: the same
-// settings, seed and events give the same actions.
+// Its words are in api.go. It has no clock, goroutine or I/O: the same events give the same actions.
 package logic
 
 import (
@@ -10,9 +9,8 @@
 	"slices"
 )
 
-// Every tuned constant. The note's minute suits upgrades that last hours; the troubles answered here last
-// some seconds to half a minute, so the timed constants are seconds: a way back that took a minute would
-// outlast nearly every trouble and leave good servers idle.
+// Every tuned constant. The note's minute suits upgrades; the troubles answered here last some seconds to
+// half a minute, and a way back that took a minute would outlast nearly every one of them.
 const (
 	tickEvery = 250 * ms // how often the slow work is looked at: validation, discovery, moves
 
@@ -26,10 +24,10 @@
 	softDemotedMax = 0.5      // share of home above which slowness is shared, no server's fault
 
 	// Discovery.
-	askSpread  = 25 * ms // first subscription: spread over so much for each balancer
-	askGuard   = 8 * sec // an ask without an answer is given up after this
-	askBackoff = 2 * sec // first wait after a failed ask; doubles up to askAtMost
-	askAtMost  = 8 * sec
+	askSpread  = 25 * ms  // first subscription: spread over so much for each balancer
+	askGuard   = 8 * sec  // an ask without an answer is given up after this
+	askBackoff = 500 * ms // first wait after a failed ask; doubles up to askAtMost
+	askAtMost  = 2 * sec  // discovery's word counts as told 6 s late at most
 	refreshGap = 12 * sec // asking again on a live watch at most so often
 
 	// Placement.
@@ -71,13 +69,12 @@
 	widthMost  = 40.0
 	widthStart = 12.0
 
-	// Cold servers.
-
 	// Filling servers.
 	fillRate   = 3.5  // connections a second that a warm server of mean size gets at most
 	fillBurst  = 8    // and at once
 	thinPart   = 0.07 // of the fleet is out: what comes back is more than the rest had
-	thinFill   = 0.4  // of the rate and the burst then
+	thinPrice  = 2.5  // of the filling rate, for each of those
+	owedFade   = 0.1  // a second, of those that are still to come back
 	mostCut    = 0.9  // of what a server had that could not carry it, it may have again
 	mostGrow   = 0.05 // a second, by which that rises while it is in time
 	mostLeast  = 1.0  // the same, in connections
@@ -91,8 +88,7 @@
 	sec Micros = 1000 * ms
 )
 
-// coldPart is what is used of the budget that the rule allows, at home and away: others' part and chance take
-// the rest.
+// coldPart is the part used of what the rule allows, at home and away: others and chance take the rest.
 var coldPart = [2]float64{0.6, 0.2}
 
 // Health is what a balancer thinks of a server.
@@ -141,6 +137,7 @@
 	due       Micros // the final answer leaves by then
 	work      float64
 	sent      int     // attempts made
+	price     float64 // of a server's filling rate; see room
 	at        *server // server of the attempt under way or of the connection
 	open      bool    // the connection stands
 	settingUp bool    // an attempt is under way
@@ -172,6 +169,7 @@
 
 	unitsMost float64 // the most that was there lately
 	thin      bool    // less of it is there now
+	owed      float64 // connections that servers ended, and that may come back
 	meanUnits float64 // size of a ready server
 	aim       Micros  // the shortest message aim; 0 where none is stated
 	colLoad   int     // place of the load over capacity in reports; below 0 where there is none
@@ -394,10 +392,9 @@
 		if now-s.delayAt > noteFresh {
 			s.most += max(s.most*mostGrow, mostLeast) * float64(tickEvery) / float64(sec)
 		}
-		if s.State != Ready || s.health != Unhealthy || now < s.validateAt {
-			continue
+		if s.State == Ready && s.health == Unhealthy && now >= s.validateAt {
+			b.validate(now, s)
 		}
-		b.validate(now, s)
 	}
 	b.moves(now)
 }
@@ -416,17 +413,14 @@
 		b.enter(now, s, UnhealthyPending)
 		return
 	}
-	if b.probes >= probeCap || s.probing {
-		return
+	if b.probes < probeCap && !s.probing {
+		b.enter(now, s, UnhealthyPending)
+		s.probing = true
+		b.probes++
+		b.do(Probe{s.Server})
 	}
-	b.enter(now, s, UnhealthyPending)
-	s.probing = true
-	b.probes++
-	b.do(Probe{s.ID()})
 }
 
-func (s *server) ID() uint32 { return s.Server }
-
 func (b *Balancer) onProbed(now Micros, ev Probed) {
 	s := b.byID[ev.Server]
 	if s == nil || !s.probing {
@@ -534,7 +528,7 @@
 			continue
 		}
 		zone, rk, share := b.away(s), rank(now, s), b.warmth(now, s)
-		if now < s.shutUntil || s.triedBy == r.id+1 || !b.room(now, s) ||
+		if now < s.shutUntil || s.triedBy == r.id+1 || !b.room(now, r, s) ||
 			(share < 1 && !b.coldRoom(now, s, share)) {
 			continue
 		}
@@ -588,11 +582,15 @@
 	if b.reqs[ev.ID] != nil {
 		return nil
 	}
-	r := &request{id: ev.ID, tenant: ev.Tenant, key: ev.Key, group: ev.Group, work: 1,
+	r := &request{id: ev.ID, tenant: ev.Tenant, key: ev.Key, group: ev.Group, work: 1, price: 1,
 		due: now + ev.Left - answerLead, class: Class{Effect: Unsafe}}
 	if ev.Class < len(b.set.Classes) {
 		r.class = b.set.Classes[ev.Class]
 	}
+	if ev.Returned && b.thin && b.owed >= 1 {
+		r.price = thinPrice
+		b.owed--
+	}
 	if ev.HasHint && ev.Hint > 0 {
 		b.hints++
 		b.meanWork += (ev.Hint - b.meanWork) / min(b.hints, 500)
@@ -671,7 +669,7 @@
 	s.triedBy = r.id + 1
 	r.sent++
 	r.at, r.lastSent = s, now
-	b.do(Send{ID: r.id, GiveUp: b.giveUp(r, left), Server: s.ID()})
+	b.do(Send{ID: r.id, GiveUp: b.giveUp(r, left), Server: s.Server})
 }
 
 // giveUp is an attempt's time-out: it leaves room for another try while there is one, but not by cutting
@@ -754,6 +752,9 @@
 	s, wasOpen := r.at, r.open
 	if wasOpen {
 		b.fall(r)
+		if ev.Status != OK {
+			b.owed++
+		}
 	} else {
 		s.pending--
 	}
@@ -909,7 +910,8 @@
 func (b *Balancer) free(now Micros) float64 {
 	free := 0.0
 	for _, s := range b.servers {
-		if s.State == Ready && now >= s.shutUntil && rank(now, s) == 0 && !late(now, s) && b.room(now, s) {
+		if s.State == Ready && now >= s.shutUntil && rank(now, s) == 0 && !late(now, s) &&
+			b.room(now, &request{price: 1}, s) {
 			free += min(s.tokens, s.most-float64(len(s.conns)+s.pending))
 		}
 	}
@@ -943,6 +945,7 @@
 		}
 	}
 	fade := max(1-float64(now-b.counted)/float64(standSpan), 0)
+	b.owed *= max(1-owedFade*float64(now-b.counted)/float64(sec), 0)
 	b.counted = now
 	b.unitsMost = max(units, b.unitsMost*fade)
 	b.thin = units < b.unitsMost*(1-thinPart)
@@ -976,16 +979,11 @@
 // it is too much shows only a second or two later: so a crowd that comes back is let in at a rate, each
 // server by its size, and goes on to the other zones where home has had its part. A server that told of
 // lateness gets no more than it had then, or less, until it has been in time for a while.
-func (b *Balancer) room(now Micros, s *server) bool {
+func (b *Balancer) room(now Micros, r *request, s *server) bool {
 	size := s.Units / b.meanUnits
-	rate, burst := fillRate*size, fillBurst*size
-	if b.thin {
-		rate, burst = rate*thinFill, burst*thinFill
-	}
-	s.tokens += rate * float64(now-s.tokensAt) / float64(sec)
-	s.tokens, s.tokensAt = min(s.tokens, max(burst, 1)), now
-	n := float64(len(s.conns) + s.pending)
-	return b.set.Pass || n < s.most && s.tokens >= 1
+	s.tokens += fillRate * size * float64(now-s.tokensAt) / float64(sec)
+	s.tokens, s.tokensAt = min(s.tokens, max(fillBurst*size, r.price)), now
+	return b.set.Pass || s.tokens >= r.price && float64(len(s.conns)+s.pending) < s.most
 }
 
 // spend books an attempt on the budget that it falls under. A heavy one leaves a debt; a light one counts
@@ -995,6 +993,6 @@
 	if b.warmth(now, s) < 1 {
 		s.left -= work
 	} else {
-		s.tokens = max(s.tokens-work, 0)
+		s.tokens = max(s.tokens-work*r.price, 0)
 	}
 }
