Let a balancer that has just started fill servers further, until one tells of lateness

Ruled out: the set-ups at once (2 to 4 under way), cold servers, demotions. At fault: room gave a balancer without history no more than one whose servers are full.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -62,16 +62,16 @@
 	failShared = 0.5 // of recent set-ups fail: the cause is shared
 
 	// Set-ups at once.
-	widthAt    = 200 * ms // set-ups that take longer wait for something that all share: fewer at once
-	widthCut   = 0.8      // for each that ends while they do
-	widthGrow  = 1.0      // for each that ends while they don't
-	widthLeast = 2.0
-	widthMost  = 40.0
-	widthStart = 12.0
+	widthAt   = 200 * ms // set-ups that take longer wait for something that all share: fewer at once
+	widthCut  = 0.8      // for each that ends while they do
+	widthGrow = 1.0      // for each that ends while they don't
+
+	widthLeast, widthMost, widthStart = 2.0, 40.0, 12.0
 
 	// Filling servers.
 	fillRate   = 3.5  // connections a second that a warm server of mean size gets at most
 	fillBurst  = 8    // and at once
+	fillFirst  = 18   // by a balancer that has just started, until a server tells of lateness
 	thinPart   = 0.07 // of the fleet is out: what comes back is more than the rest had
 	thinPrice  = 2.5  // of the filling rate, for each of those
 	owedFade   = 0.1  // a second, of those that are still to come back
@@ -129,24 +129,23 @@
 
 // request is one client request that this balancer has taken, until its last outcome.
 type request struct {
-	id        uint32
-	class     Class
-	tenant    int
-	key       uint64
-	group     uint64
-	due       Micros // the final answer leaves by then
-	work      float64
-	sent      int     // attempts made
-	price     float64 // of a server's filling rate; see room
-	at        *server // server of the attempt under way or of the connection
-	open      bool    // the connection stands
-	settingUp bool    // an attempt is under way
-	closed    bool    // answered or withdrawn; only an outcome is awaited
-	ran       *server // server of the first attempt that may have run
-	erred     *server // server that answered an error, until another has judged the request
-	ranAt     Micros
-	lastSent  Micros
-	slot      int // place in at.conns while open
+	id       uint32
+	class    Class
+	tenant   int
+	key      uint64
+	group    uint64
+	due      Micros // the final answer leaves by then
+	work     float64
+	sent     int     // attempts made
+	price    float64 // of a server's filling rate; see room
+	at       *server // server of the attempt under way or of the connection
+	open     bool    // the connection stands
+	closed   bool    // answered or withdrawn; only an outcome is awaited
+	ran      *server // server of the first attempt that may have run
+	erred    *server // server that answered an error, until another has judged the request
+	ranAt    Micros
+	lastSent Micros
+	slot     int // place in at.conns while open
 }
 
 // Balancer decides for one proxy.
@@ -175,18 +174,17 @@
 	colLoad   int     // place of the load over capacity in reports; below 0 where there is none
 	movedAt   Micros
 
-	failing   float64 // part of recent set-ups that failed
-	settingUp int     // attempts under way
-	width     float64 // how many there may be
-	setUp     float64 // two thirds of recent set-ups were quicker
-	retries   float64
-	size      float64 // of home, or an average zone: the most lately
-	standNow  float64 // work that stands now
-	standing  float64 // the most that stood lately
-	fill      float64 // work a second that a cold server may be filled with, once it is warm
-	counted   Micros  // when census looked last
-	meanWork  float64 // mean hint
-	hints     float64
+	failing  float64 // part of recent set-ups that failed
+	width    float64 // how many there may be
+	setUp    float64 // two thirds of recent set-ups were quicker
+	retries  float64
+	size     float64 // of home, or an average zone: the most lately
+	standNow float64 // work that stands now
+	standing float64 // the most that stood lately
+	fill     float64 // work a second that a cold server may be filled with, once it is warm
+	counted  Micros  // when census looked last
+	meanWork float64 // mean hint
+	hints    float64
 }
 
 // New returns a balancer that has just started.
@@ -357,6 +355,11 @@
 	if ready > 0 {
 		b.meanUnits = units / ready
 	}
+	for _, s := range b.servers {
+		if ev.Kind == Cached {
+			s.tokens = fillFirst * s.Units / b.meanUnits
+		}
+	}
 	if ev.Kind != Cached {
 		b.asking, b.watching, b.askFails, b.heard = false, true, 0, now
 	}
@@ -652,7 +655,11 @@
 		return
 	}
 	var s *server
-	if b.set.Pass || float64(b.settingUp) < b.width {
+	under := 0
+	for _, o := range b.servers {
+		under += o.pending
+	}
+	if b.set.Pass || float64(under) < b.width {
 		s = b.pick(now, r)
 	}
 	if s == nil {
@@ -664,8 +671,6 @@
 	}
 	b.spend(now, s, r)
 	s.pending++
-	r.settingUp = true
-	b.settingUp++
 	s.triedBy = r.id + 1
 	r.sent++
 	r.at, r.lastSent = s, now
@@ -728,7 +733,6 @@
 	if r == nil || r.at == nil || r.open || ev.Attempt != r.sent-1 || r.at.Server != ev.Server {
 		return
 	}
-	b.setUpOver(r)
 	b.connected(now, r.at)
 	b.tally(OK, ev.Took)
 	if r.erred != nil && r.erred != r.at {
@@ -748,7 +752,6 @@
 	if r == nil || r.at == nil || ev.Attempt != r.sent-1 || r.at.Server != ev.Server {
 		return
 	}
-	b.setUpOver(r)
 	s, wasOpen := r.at, r.open
 	if wasOpen {
 		b.fall(r)
@@ -811,14 +814,6 @@
 	}
 }
 
-// setUpOver notes that r's attempt is no longer being set up.
-func (b *Balancer) setUpOver(r *request) {
-	if r.settingUp {
-		r.settingUp = false
-		b.settingUp--
-	}
-}
-
 // shared tells that so many set-ups fail, whatever the server, that the cause must lie behind all of them.
 // Then no server is demoted for it, and nothing is tried twice: further tries would keep the cause alive.
 func (b *Balancer) shared() bool { return b.failing > failShared }
@@ -866,6 +861,9 @@
 	s.fall = max(was-s.delay, 0)
 	switch n := float64(len(s.conns) + s.pending); {
 	case s.delay > slowAt:
+		for _, o := range b.servers {
+			o.tokens = min(o.tokens, fillBurst)
+		}
 		s.most = min(s.most, n)
 		if s.delay > moveAt {
 			s.most = min(s.most, n*mostCut)
@@ -981,8 +979,10 @@
 // lateness gets no more than it had then, or less, until it has been in time for a while.
 func (b *Balancer) room(now Micros, r *request, s *server) bool {
 	size := s.Units / b.meanUnits
-	s.tokens += fillRate * size * float64(now-s.tokensAt) / float64(sec)
-	s.tokens, s.tokensAt = min(s.tokens, max(fillBurst*size, r.price)), now
+	if burst := max(fillBurst*size, r.price); s.tokens < burst {
+		s.tokens = min(s.tokens+fillRate*size*float64(now-s.tokensAt)/float64(sec), burst)
+	}
+	s.tokensAt = now
 	return b.set.Pass || s.tokens >= r.price && float64(len(s.conns)+s.pending) < s.most
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -758,6 +758,9 @@
 			got[s]++
 		}
 	}
+	for _, s := range g.b.servers {
+		s.tokens = 0 // as if long after the start
+	}
 	crowd()
 	if got[1] != 1.5*fillBurst || got[2] != fillBurst/2 || got[101] != fillBurst || got[0] == 0 {
 		t.Fatalf("at first %v", got)
@@ -770,6 +773,29 @@
 	}
 }
 
+// A balancer that has just started gets back what it had, and knows nothing of it: it fills servers further, until one
+// tells of lateness.
+func TestFreshBalancerFillsMore(t *testing.T) {
+	for late, want := range map[bool]int{false: 2 * fillFirst, true: 2 * fillBurst} {
+		g := newRig(t, settings(), fleet(2, 0))
+		g.b.width = math.Inf(1)
+		if late {
+			g.do(Note{Server: 1, Kind: DelayNote, Value: (slowAt + moveAt) / 2 * 100})
+			g.b.byID[1].most = math.Inf(1)
+			g.b.connected(g.now, g.b.byID[1])
+		}
+		n := 0
+		for range 100 {
+			if _, s := g.askNow(); s != 0 {
+				n++
+			}
+		}
+		if n != want {
+			t.Errorf("late %v: %d, want %d", late, n, want)
+		}
+	}
+}
+
 // Set-ups that take long wait for something that all share, so fewer go at once; a few servers that hang don't count.
 func TestSetUpsAtOnce(t *testing.T) {
 	atOnce := func(took Micros, hung int) int {
