Place groups by a hash all balancers share; ask discovery over the fleet's span

Seen, counted across 80 balancers: connections of a group began on one server each (12 groups in 18 places, 31 in 33) and were scattered over nearly all within seconds (79 and 100 places), each place paying for the group's work anew. A balancer holds three connections and knows of few others. Ruled out: load as such, which was half of what the servers can do. Discovery: 35 asks a second at a start, and after a crash of 56 balancers 14 to 34 a second for good; from then on it answered none (35 of 56 never had a list), since what waits a second there is lost work. At fault: draw() in pick, random for each balancer; askSpread of 25 ms and askAtMost of 2 s, right for three.

Change: the draw is a hash of group and server's id, which all share (not of the place in each balancer's own table). First asks are spread over 0.1 s for each balancer of the fleet, repeats over that span with jitter, up to four times wider. A refresh after a long demotion is spread the same way.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,7 @@
 	"reflect"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"spurspread/decide/pool"
@@ -222,7 +223,7 @@
 	u := logic.Update{Kind: kind}
 	for _, t := range c.Targets {
 		u.Entries = append(u.Entries, logic.Entry{
-			Server: t.Num, Zone: uint8(place(r.cfg.Settings.Zones, t.Zone, 255)),
+			Server: t.Num, Name: xxhash.Sum64String(t.ID), Zone: uint8(place(r.cfg.Settings.Zones, t.Zone, 255)),
 			Kind: uint16(place(r.cfg.Settings.Kinds, t.Machine, 65535)), State: listStates[t.State], Units: t.Weight,
 			Cell: t.Cell, Started: logic.Micros(t.StartedMillis * ms),
 		})
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -297,7 +297,7 @@
 		if e[7] > uint8(logic.Ready) {
 			return nil, fmt.Errorf("entry %d: state %d is none of those known", i, e[7])
 		}
-		out[i] = logic.Entry{Server: le.Uint32(e), Zone: e[4], Kind: le.Uint16(e[5:]), State: logic.ListState(e[7]),
+		out[i] = logic.Entry{Server: le.Uint32(e), Name: uint64(le.Uint32(e)), Zone: e[4], Kind: le.Uint16(e[5:]), State: logic.ListState(e[7]),
 			Units: float64(math.Float32frombits(le.Uint32(e[8:]))), Cell: le.Uint16(e[12:]),
 			Started: logic.Micros(le.Uint64(e[14:]))}
 		if out[i].Started < 0 {
--- a/logic/api.go
+++ b/logic/api.go
@@ -78,6 +78,7 @@
 // Entry is one server as discovery lists it. Entries are shared between instances and read only.
 type Entry struct {
 	Server  uint32
+	Name    uint64 // stands for its id, the same at every proxy, where Server may not be
 	Zone    uint8
 	Kind    uint16
 	State   ListState
--- /dev/null
+++ b/logic/fleet_test.go
@@ -0,0 +1,171 @@
+package logic
+
+import (
+	"container/heap"
+	"testing"
+)
+
+// A fleet of balancers that share nothing but the servers and one discovery, in virtual time. What one balancer may do
+// and eighty may not shows in sums over all of them.
+type many struct {
+	t      *testing.T
+	bs     []*Balancer
+	now    Micros
+	due    dues
+	seq    int
+	answer func(i int, a Action) // what the world makes of an action
+}
+
+type due struct {
+	at  Micros
+	seq int // events of one moment keep their order
+	do  func()
+}
+
+type dues []due
+
+func (d dues) Len() int { return len(d) }
+func (d dues) Less(i, j int) bool {
+	return d[i].at < d[j].at || d[i].at == d[j].at && d[i].seq < d[j].seq
+}
+func (d dues) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *dues) Push(x any)   { *d = append(*d, x.(due)) }
+func (d *dues) Pop() any     { x := (*d)[len(*d)-1]; *d = (*d)[:len(*d)-1]; return x }
+
+// newMany starts n balancers in one moment, spread over the zones, with the same list.
+func newMany(t *testing.T, n int, s Settings, list []Entry) *many {
+	m := &many{t: t, now: start, answer: func(int, Action) {}}
+	s.Balancers = n
+	for i := range n {
+		s.Rank, s.Zone = i, i%max(s.Zones, 1)
+		m.bs = append(m.bs, New(s, uint64(i)*77+5, start))
+	}
+	for i := range n {
+		m.tell(i, Update{Kind: Cached, Entries: list})
+	}
+	return m
+}
+
+func (m *many) after(d Micros, do func()) {
+	m.seq++
+	heap.Push(&m.due, due{m.now + d, m.seq, do})
+}
+
+func (m *many) tell(i int, ev Event) {
+	for _, a := range m.bs[i].Handle(m.now, ev, nil) {
+		if timer, ok := a.(SetTimer); ok {
+			m.after(timer.Delay, func() { m.tell(i, Timer{timer.Token}) })
+		} else {
+			m.answer(i, a)
+		}
+	}
+}
+
+func (m *many) run(until Micros) {
+	for len(m.due) > 0 && m.due[0].at <= until {
+		d := heap.Pop(&m.due).(due)
+		m.now = d.at
+		d.do()
+	}
+	m.now = until
+}
+
+// queue is discovery: one call after another; one that has waited for a second fails, and is work all the same.
+type queue struct {
+	m     *many
+	each  Micros // what a call takes
+	free  Micros // when it is done with what waits
+	down  Micros // no answer until then
+	calls map[Micros]int
+	fresh map[int]Micros
+}
+
+func (q *queue) ask(i int) {
+	m := q.m
+	q.calls[m.now/sec]++
+	begin := max(m.now, q.free)
+	if begin-m.now < 3*sec { // what waits longer is not even kept
+		q.free = begin + q.each
+	}
+	if wait := begin + q.each - m.now; wait > sec || m.now < q.down {
+		m.after(sec, func() { m.tell(i, Update{Kind: Failed}) })
+		return
+	}
+	m.after(begin+q.each-m.now, func() {
+		if q.fresh[i] == 0 {
+			q.fresh[i] = m.now
+		}
+		m.tell(i, Update{Kind: Delta})
+	})
+}
+
+// Eighty balancers that start together, or hear nothing for a while, must not keep discovery so busy that it answers
+// nobody: what all send it together stays in bounds, and each has a fresh list soon.
+func TestFleetAsksNoMoreThanDiscoveryAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		n           int
+		each        Micros
+		down, fresh Micros
+		most        int // calls in any second
+	}{
+		"three":                   {3, 200 * ms, 0, 2 * sec, 3},
+		"eighty":                  {80, 70 * ms, 0, 12 * sec, 22},
+		"eighty, slow":            {80, 200 * ms, 0, 70 * sec, 22},
+		"eighty, after an outage": {80, 200 * ms, 6 * sec, 80 * sec, 30},
+	} {
+		s := settings()
+		s.Ask = true
+		m := newMany(t, c.n, s, fleet(3, 3))
+		q := &queue{m: m, each: c.each, down: start + c.down, calls: map[Micros]int{}, fresh: map[int]Micros{}}
+		m.answer = func(i int, a Action) {
+			if _, ok := a.(Watch); ok {
+				q.ask(i)
+			}
+		}
+		m.run(start + c.fresh)
+		if len(q.fresh) != c.n {
+			t.Errorf("%s: %d of %d have a fresh list after %d s", name, len(q.fresh), c.n, c.fresh/sec)
+		}
+		for second, n := range q.calls {
+			if n > c.most {
+				t.Errorf("%s: %d calls in second %d", name, n, second-start/sec)
+			}
+		}
+	}
+}
+
+// Each balancer holds few of a group, and has learned of the servers in an order of its own; still they send a group's
+// connections to one place in a zone, and all groups together to places of their own.
+func TestFleetKeepsGroupsTogether(t *testing.T) {
+	s := settings()
+	s.Zones = 1
+	m := newMany(t, 40, s, nil)
+	for i := range m.bs {
+		list := fleet(8, 0)
+		for j := range list {
+			list[j].Server = uint32((j*5 + i*3) % 8)
+		}
+		m.tell(i, Update{Kind: Cached, Entries: list})
+	}
+	places, used := map[uint64]map[uint64]bool{}, map[uint64]bool{}
+	at := 0
+	m.answer = func(i int, a Action) {
+		if a, ok := a.(Send); ok {
+			group, where := uint64(at%12+1), m.bs[i].byID[a.Server].Name
+			if places[group] == nil {
+				places[group] = map[uint64]bool{}
+			}
+			places[group][where], used[where] = true, true
+		}
+	}
+	for at = range 40 * 3 {
+		m.tell(at%40, Request{ID: uint32(at), Left: sec, Group: uint64(at%12 + 1)})
+	}
+	all := 0
+	for _, in := range places {
+		all += len(in)
+	}
+	if len(places) != 12 || all > 24 || len(used) < 5 {
+		t.Errorf("%d groups in %d places at %d of 8 servers", len(places), all, len(used))
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -9,8 +9,8 @@
 	"slices"
 )
 
-// Every tuned constant. The note's minute suits upgrades; the troubles answered here last some seconds to
-// half a minute, and a way back that took a minute would outlast nearly every one of them.
+// Every tuned constant. The troubles answered here last seconds to half a minute; the note's minute outlasts
+// them.
 const (
 	tickEvery = 250 * ms // how often the slow work is looked at: validation, discovery, moves
 
@@ -24,10 +24,10 @@
 	softDemotedMax = 0.5      // share of home above which slowness is shared, no server's fault
 
 	// Discovery.
-	askSpread  = 25 * ms  // first subscription: spread over so much for each balancer
+	askSpread  = 100 * ms // of discovery's time for each balancer: all ask within the sum, see askSpan
 	askGuard   = 8 * sec  // an ask without an answer is given up after this
-	askBackoff = 500 * ms // first wait after a failed ask; doubles up to askAtMost
-	askAtMost  = 2 * sec  // discovery's word counts as told 6 s late at most
+	askBackoff = 500 * ms // the least span of a wait after a failed ask; doubles up to askWidest times
+	askWidest  = 4
 	refreshGap = 12 * sec // asking again on a live watch at most so often
 
 	// Placement.
@@ -158,6 +158,7 @@
 	out     []Action
 
 	watching, asking bool
+	refresh          bool // asked for again though watching, at nextAsk
 	nextAsk          Micros
 	heard            Micros // discovery's last answer
 	askFails, probes int    // asks that failed in a row, validations under way
@@ -167,7 +168,6 @@
 	owed      float64 // connections that servers ended, and that may come back
 	meanUnits float64 // size of a ready server
 	aim       Micros  // the shortest message aim; 0 where none is stated
-	colLoad   int     // place of the load over capacity in reports; below 0 where there is none
 	movedAt   Micros
 
 	failing         float64 // part of recent set-ups that failed
@@ -187,8 +187,7 @@
 	b := &Balancer{set: s, rng: rand.New(rand.NewPCG(seed, 0x726f62696e6c7567)),
 		byID: map[uint32]*server{}, reqs: map[uint32]*request{}, retries: retryMost, heard: now,
 		movedAt: now, counted: now, meanUnits: 1, width: widthStart}
-	b.nextAsk = now + b.jitter(min(askSpread*Micros(max(s.Balancers, 1)), s.AskEvery/2))
-	b.colLoad = slices.Index(s.Columns, "x0")
+	b.nextAsk = now + b.jitter(b.askSpan())
 	for _, c := range s.Classes {
 		if c.MessageAim > 0 && (b.aim == 0 || c.MessageAim < b.aim) {
 			b.aim = c.MessageAim
@@ -273,8 +272,8 @@
 	}
 }
 
-// demote makes a server Unhealthy. A relapse soon after its return doubles the time to its next validation:
-// a server that errs yet accepts probes would otherwise come back at every refresh.
+// demote makes a server Unhealthy. A relapse soon after its return doubles the time to its next validation,
+// for one that errs yet accepts probes.
 func (b *Balancer) demote(now Micros, s *server) {
 	if s.health == Unhealthy {
 		return
@@ -289,8 +288,8 @@
 	s.strikes++
 }
 
-// demoteSoft demotes for slowness, unless so much of home is demoted already that the cause must be shared
-// (a store, a link, overload): demoting all for it would only move the crowd.
+// demoteSoft demotes for slowness, unless so much of home is demoted that the cause must be shared (a store,
+// a link, overload): demoting all for it would only move the crowd.
 func (b *Balancer) demoteSoft(now Micros, s *server) {
 	all, low := 0, 0
 	for _, o := range b.servers {
@@ -326,8 +325,8 @@
 func (b *Balancer) onUpdate(now Micros, ev Update) {
 	if ev.Kind == Failed {
 		b.asking, b.watching = false, false
-		b.nextAsk = now + b.around(min(askBackoff<<min(b.askFails, 4), askAtMost))
-		b.askFails++
+		b.nextAsk = now + askBackoff/2 + b.jitter(max(b.askSpan(), askBackoff)<<b.askFails)
+		b.askFails = min(b.askFails+1, askWidest/2)
 		return
 	}
 	if ev.Kind != Delta {
@@ -378,7 +377,7 @@
 func (b *Balancer) tick(now Micros) {
 	b.timer(b.around(tickEvery), timerTick)
 	b.census(now)
-	if b.set.Ask && now >= b.nextAsk && (!b.watching || b.asking) {
+	if b.set.Ask && now >= b.nextAsk && (!b.watching || b.asking || b.refresh) {
 		b.ask(now)
 	}
 	for _, s := range b.servers {
@@ -392,15 +391,20 @@
 	b.moves(now)
 }
 
+// askSpan is the time over which all balancers' calls of one cause are spread. Discovery takes one call after
+// another, and what waits too long is lost work to it: asked faster than it answers, it answers nobody.
+func (b *Balancer) askSpan() Micros {
+	return min(askSpread*Micros(max(b.set.Balancers, 1)), b.set.AskEvery)
+}
+
 // ask subscribes, or asks again on the watch, which is a cheap refresh.
 func (b *Balancer) ask(now Micros) {
-	b.asking = true
+	b.asking, b.refresh = true, false
 	b.nextAsk = now + b.around(askGuard)
 	b.do(Watch{On: true})
 }
 
-// validate turns a listed Unhealthy server UnhealthyPending and probes it, if the cap has room; a validation
-// that misses the cap is skipped until the next look.
+// validate turns a listed Unhealthy server UnhealthyPending and probes it, if the cap has room, else not now.
 func (b *Balancer) validate(now Micros, s *server) {
 	if b.set.MayProbe {
 		if b.probes >= probeCap || s.probing {
@@ -420,38 +424,32 @@
 	}
 	s.probing = false
 	b.probes--
-	if s.health != UnhealthyPending {
-		return
-	}
-	if ev.Status == Moot { // it was never sent, which says nothing of the server
+	switch {
+	case s.health != UnhealthyPending:
+	case ev.Status == Moot: // it was never sent, which says nothing of the server
 		b.enter(now, s, Unhealthy)
 		s.validateAt = now + b.around(validateFirst)
-		return
-	}
-	if ev.Status == OK && !b.loaded(ev.Load) {
+	case ev.Status == OK && !b.loaded(ev.Load):
 		b.connected(now, s)
-	} else {
+	default:
 		b.demote(now, s)
 	}
 }
 
 // loaded tells whether a load report shows a server with no room; what is absent or no number says nothing.
 func (b *Balancer) loaded(r Report) bool {
-	if b.colLoad < 0 || b.colLoad >= r.N {
-		return false
-	}
-	v := float64(r.Values[b.colLoad])
-	return v > loadFull && !math.IsInf(v, 0)
+	at := slices.Index(b.set.Columns, "x0") // its load over its capacity
+	return at >= 0 && at < r.N && r.Values[at] > loadFull && !math.IsInf(float64(r.Values[at]), 0)
 }
 
-// refreshIfLong asks discovery again when a server has been Unhealthy for long.
+// refreshIfLong asks discovery again when a server has been Unhealthy for long, as others will have seen.
 func (b *Balancer) refreshIfLong(now Micros) {
-	if !b.set.Ask || b.asking || !b.watching || now-b.heard < refreshGap {
+	if !b.set.Ask || b.asking || b.refresh || !b.watching || now-b.heard < refreshGap {
 		return
 	}
 	for _, s := range b.servers {
 		if s.State == Ready && s.health == Unhealthy && now-s.entered[Unhealthy] > longUnhealthy {
-			b.ask(now)
+			b.refresh, b.nextAsk = true, now+b.jitter(b.askSpan())
 			return
 		}
 	}
@@ -508,8 +506,8 @@
 	return true
 }
 
-// pick draws at random, by share, among the best-ranked ready servers of the home zone, and of the others
-// where home has only lower ranks. It returns nil where no server may have the request now.
+// pick draws by share among the best-ranked ready servers of the home zone, and of the others where home has
+// only lower ranks. It returns nil where no server may have the request now.
 func (b *Balancer) pick(now Micros, r *request) *server {
 	var best [2][3]*server // home or away, by rank
 	var least [2][3]float64
@@ -538,9 +536,8 @@
 	return nil
 }
 
-// appeal is how likely s is to be picked for r, beside the others: by its size, less for what it carries
-// already, and much more where it has connections of r's group, whose work it then does only once. Where
-// connections pass through it is the size alone, which every proxy sees alike.
+// appeal is how likely s is to be picked for r: by its size, less for what it carries, much more where it has
+// others of r's group, whose work it then does only once; the size alone, alike to all, where packets pass.
 func (b *Balancer) appeal(r *request, s *server) float64 {
 	size := s.Units / b.meanUnits
 	if b.set.Pass {
@@ -554,13 +551,18 @@
 	return appeal
 }
 
-// draw is a random number from 0 to 1; where connections pass through, it is drawn from the key, so that
-// every proxy draws alike and a connection that changes proxies finds its server.
+// draw is a random number from 0 to 1 that every proxy draws alike: by the group, which so comes together
+// though each proxy holds few of it, or where connections pass through by the key, so that one finds its
+// server again.
 func (b *Balancer) draw(r *request, s *server) float64 {
-	if !b.set.Pass || r.key == 0 {
+	of := r.group
+	if b.set.Pass {
+		of = r.key
+	}
+	if of == 0 {
 		return b.rng.Float64()
 	}
-	h := r.key ^ uint64(s.Server)*0x9e3779b97f4a7c15
+	h := of ^ s.Name*0x9e3779b97f4a7c15
 	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
 	h = (h ^ h>>27) * 0x94d049bb133111eb
 	return float64((h^h>>31)>>11) / (1 << 53)
@@ -773,8 +775,8 @@
 	b.place(now, r)
 }
 
-// tally keeps the part of recent set-ups that failed inside the server or in time, and how long two thirds of
-// them take at most: a mean would take a few servers that hang for a slow store.
+// tally keeps the part of recent set-ups that failed inside the server or in time, and what two thirds take
+// at most: a mean would take a few servers that hang for a slow store.
 func (b *Balancer) tally(st Status, took Micros) {
 	switch st {
 	case OK:
@@ -789,8 +791,8 @@
 			b.setUp /= setUpFall
 		}
 		b.setUp = max(b.setUp, setUpLeast)
-		// A crowd that comes back at once outruns the store: tried all at once, each would take too long
-		// and be tried again, which keeps the store busy with what nobody waits for any more.
+		// A crowd that comes back outruns the store: tried all at once, each would take too long and be
+		// tried again, which keeps the store busy with what nobody waits for any more.
 		if b.setUp > float64(widthAt) {
 			b.width = max(b.width*widthCut, widthLeast)
 		} else {
@@ -799,8 +801,8 @@
 	}
 }
 
-// shared tells that so many set-ups fail, whatever the server, that the cause must lie behind all of them.
-// Then no server is demoted for it, and nothing is tried twice: further tries would keep the cause alive.
+// shared tells that so many set-ups fail that the cause must lie behind all servers: none is demoted for it,
+// and nothing is tried twice, which would keep the cause alive.
 func (b *Balancer) shared() bool { return b.failing > failShared }
 
 // judge draws a server's health from how an attempt ended.
@@ -862,9 +864,9 @@
 	}
 }
 
-// moves takes connections off servers whose messages have been late, a part at a time, the larger the later
-// they are for the connection's class. Where lateness falls, a server is left alone if it will soon be in
-// time by itself. Nothing is moved without a place to go, unless so late that staying is worth nothing.
+// moves takes connections off servers whose messages are late, a part at a time, the larger the later for
+// their class, unless lateness falls and will soon be over, or there is no place to go and staying is worth
+// something.
 func (b *Balancer) moves(now Micros) {
 	since, free := float64(now-b.movedAt)/float64(sec), b.free(now)
 	for _, s := range b.servers {
@@ -888,8 +890,7 @@
 	b.movedAt = now
 }
 
-// free tells how many connections the servers that are in time have room for now: one that is moved and then
-// finds no place is worse off than on a late server.
+// free tells how many connections the servers that are in time have room for now.
 func (b *Balancer) free(now Micros) float64 {
 	free := 0.0
 	for _, s := range b.servers {
@@ -910,8 +911,8 @@
 	}
 }
 
-// move ends a connection politely; its client comes again. One that can be told where is told the pick of
-// now, at no price: the room is looked at, and paid for, when it comes.
+// move ends a connection politely; its client comes again, where it can be told to the pick of now. Room is
+// paid for when it comes.
 func (b *Balancer) move(now Micros, r *request, stay bool) {
 	m, next := Move{ID: r.id}, r.at
 	if r.resumes && !(stay && next.State == Ready && !late(now, next)) {
@@ -927,10 +928,10 @@
 
 // ---- Cold budget ----
 
-// census looks how much of the fleet is there, and what a cold server may be filled with. With a part of the
-// fleet gone, what comes back is more than the rest had, and is let in more slowly. A home that has just lost
-// its servers counts as large as it was, and no smaller than the average: dividing by the few that are left,
-// or the first that return, would grant each of them all that the zone carried.
+// census looks how much of the fleet is there, and what a cold server may be filled with. Where a part is
+// gone, more comes back than the rest had, and is let in more slowly. A home that has just lost its servers
+// counts as large as it was, and as the average: the few that are left would each be granted what the zone
+// carried.
 func (b *Balancer) census(now Micros) {
 	home, all, units := 0.0, 0.0, 0.0
 	for _, s := range b.servers {
@@ -955,10 +956,10 @@
 	b.fill = b.standing * float64(sec) / float64(b.set.Cold) / b.size
 }
 
-// coldRoom tells whether a cold server's budget has room. It is this balancer's part of what the rule lets
-// all of them send: the work that may fill a server, times its warmth and the multiple. A balancer's part of
-// a window is mostly far under one connection, so each window draws it whole or not at all; what is not used
-// is not saved up, or all balancers would spend their savings together.
+// coldRoom tells whether a cold server's budget has room: this balancer's part of what the rule lets all
+// send, the work that may fill a server times its warmth and the multiple. It is mostly far under one
+// connection, so each window draws it whole or not at all; unused it lapses, or all would spend their savings
+// together.
 func (b *Balancer) coldRoom(now Micros, s *server, warmth float64) bool {
 	if now-s.window >= b.set.TipAfter {
 		s.window = now
@@ -974,10 +975,10 @@
 	return s.left > 0
 }
 
-// room tells whether s may be sent one more connection now. What a server can carry is not known, and whether
-// it is too much shows only a second or two later: so a crowd that comes back is let in at a rate, each
-// server by its size, and goes on to the other zones where home has had its part. A server that told of
-// lateness gets no more than it had then, or less, until it has been in time for a while.
+// room tells whether s may be sent one more connection now. Whether one is too much shows a second or two
+// later, so a crowd is let in at a rate, each server by its size, and goes on to other zones where home has
+// had its part. A server that told of lateness gets no more than it had then until it has been in time for a
+// while.
 func (b *Balancer) room(now Micros, r *request, s *server) bool {
 	size := s.Units / b.meanUnits
 	if burst := max(fillBurst*size, r.price); s.tokens < burst {
@@ -987,8 +988,8 @@
 	return b.set.Pass || s.tokens >= r.price && float64(len(s.conns)+s.pending) < s.most
 }
 
-// spend books an attempt on the budget that it falls under. A heavy one leaves a debt; a light one counts
-// whole, for setting it up costs as much as any other.
+// spend books an attempt on its budget. A heavy one leaves a debt; a light one costs as much to set up as
+// any.
 func (b *Balancer) spend(now Micros, s *server, r *request) {
 	work := max(r.work, 1)
 	if b.warmth(now, s) < 1 {
