Move by what notes tell, throttle failing set-ups, share one cold budget over the fleet

Ruled out: a cold server for a few groups only.

At fault: moves(), a part of the connections at every tick whatever was moved already; coldRoom(), a part by what one balancer holds, drawn only in windows in which it has a request, and then weighed against warm servers; retryMost of 20 at each of 80 balancers; no bound on what is sent to a store that fails.

Now: one part a note, by how fast the delay grows, at most 0.7 of a server's, less where part of the fleet is out; what is sent is at most twice what comes to stand, and a little by all together; the cold budget is what a warm server takes, times warmth and multiple, over the balancers and over how often they have requests; it is used first, and across zones while part of the fleet is out; retries saved up are the fleet's.

--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"testing"
 )
 
@@ -169,3 +170,49 @@
 		t.Errorf("%d groups in %d places at %d of 8 servers", len(places), all, len(used))
 	}
 }
+
+// What eighty balancers send a cold server stays under what the rule allows in every second, though each has a part of
+// far less than one connection; and where few of them have a request in a second, what it could take is not wasted.
+func TestFleetKeepsColdBudget(t *testing.T) {
+	for title, c := range map[string]struct {
+		every       Micros  // a request at each balancer
+		least, most float64 // of what is allowed
+	}{"a crowd": {500 * ms, 0.2, 1}, "a request a second": {sec, 0.2, 1}, "sparse": {4 * sec, 0.1, 1}} {
+		s := settings()
+		s.Zones = 1
+		list := append(fleet(4, 0), Entry{Server: 50, Name: name(50), State: Ready, Started: start})
+		m := newMany(t, 80, s, list)
+		sent := map[Micros]float64{}
+		m.answer = func(i int, a Action) {
+			if a, ok := a.(Send); ok {
+				if a.Server == 50 {
+					sent[(m.now-start)/sec]++
+				}
+				m.after(20*ms, func() { m.tell(i, Established{ID: a.ID, Server: a.Server, Took: 20 * ms}) })
+			}
+		}
+		next := uint32(0)
+		for i := range m.bs {
+			var ask func()
+			ask = func() {
+				next++
+				m.tell(i, Request{ID: next, Left: sec, Key: uint64(next)})
+				m.after(c.every, ask)
+			}
+			m.after(c.every*Micros(i)/80, ask)
+		}
+		m.run(start + 18*sec)
+		all, allowed := 0.0, 0.0
+		for second := range Micros(18) {
+			warmth := s.ColdFrom + (1-s.ColdFrom)*(float64(second)+0.5)/20
+			limit := s.OverloadFactor * coldRate * warmth
+			all, allowed = all+sent[second], allowed+limit
+			if chance := 3 * math.Sqrt(limit); sent[second] > limit+chance {
+				t.Errorf("%s: %.0f sent in second %d, %.1f allowed", title, sent[second], second, limit)
+			}
+		}
+		if all < c.least*allowed || all > c.most*allowed {
+			t.Errorf("%s: %.0f sent of %.0f allowed", title, all, allowed)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,18 +35,18 @@
 	answerLead = 12 * ms // final answers leave so long before the client's time is up
 	tryShare   = 0.45    // of the time left goes to one attempt while further ones are possible
 	tryLeast   = 80 * ms
-	setUpRoom  = 4.0 // times what set-ups take now is the least for an attempt
-	retryGrant = 0.5 // retries that each request adds to the budget
-	retryMost  = 20.0
+	setUpRoom  = 4.0  // times what set-ups take now is the least for an attempt
+	retryGrant = 0.5  // retries that each request adds to the budget
+	retryMost  = 60.0 // saved up by all balancers together; each may save up two
 
 	// Slow servers.
 	slowAt    = 0.35    // of the shortest message aim: a server whose messages take longer is demoted
 	moveAt    = 0.6     // the same, for moving connections away
 	moveSetUp = 0.4     // of a class's aim: while set-ups take longer, nothing of it is moved
-	moveRate  = 0.25    // of its connections, a second, times the lateness as a multiple of their aim
 	shedAt    = 1.5     // of a class aim: moved though no other server has room
-	moveMost  = 1.5     // the same at most
-	easeSpan  = 1.5     // notes from now, in which lateness that falls is over: nothing is moved for it
+	moveMost  = 0.7     // of its connections, at one note
+	easeSpan  = 2 * sec // in which what waits at a late server is to be done
+	noteLeast = 400 * ms
 	noteFresh = 2 * sec // a delay note says nothing after this
 
 	loadFull   = 0.85     // of its capacity asked: no validation
@@ -61,6 +61,11 @@
 	setUpLeast = 1000
 	failShared = 0.5 // of recent set-ups fail: the cause is shared
 
+	// While set-ups fail, what is sent is so many times what comes to stand, and some to find out.
+	throttleTimes = 2.0
+	throttleFree  = 160.0 // by all balancers together, in the memory
+	throttleFade  = 0.975 // a tick; a memory of 10 s
+
 	// Set-ups at once.
 	widthAt   = 200 * ms // set-ups that take longer wait for something that all share: fewer at once
 	widthCut  = 0.8      // for each that ends while they do
@@ -69,18 +74,21 @@
 	widthLeast, widthMost, widthStart = 2.0, 40.0, 12.0
 
 	// Filling servers.
-	fillRate   = 3.5  // connections a second that a warm server of mean size gets at most
-	fillBurst  = 8    // and at once
-	fillFirst  = 18   // by a balancer that has just started, until a server tells of lateness
-	thinPart   = 0.07 // of the fleet is out: what comes back is more than the rest had
-	thinPrice  = 2.5  // of the filling rate, for each of those
-	owedFade   = 0.1  // a second, of those that are still to come back
-	mostCut    = 0.9  // of what a server had that could not carry it, it may have again
-	mostGrow   = 0.05 // a second, by which that rises while it is in time
-	mostLeast  = 1.0  // the same, in connections
-	groupBonus = 50   // times as likely is a server that has others of the group
-	groupLoad  = 0.5  // connections that a group counts as, besides its own
-	evenness   = 2.0  // how strongly a server's load tells against it
+	coldRate    = 3.3  // connections a second that a warm server of mean size takes, for a cold one's budget
+	leastDemand = 0.33 // requests a second that a balancer counts on at least
+	demandSpan  = 2.5  // seconds over which they are counted
+	fillRate    = 3.5  // connections a second that a warm server of mean size gets at most
+	fillBurst   = 8    // and at once
+	fillFirst   = 18   // by a balancer that has just started, until a server tells of lateness
+	thinPart    = 0.07 // of the fleet is out: what comes back is more than the rest had
+	thinPrice   = 2.5  // of the filling rate, for each of those
+	owedFade    = 0.1  // a second, of those that are still to come back
+	mostCut     = 0.9  // of what a server had that could not carry it, it may have again
+	mostGrow    = 0.05 // a second, by which that rises while it is in time
+	mostLeast   = 1.0  // the same, in connections
+	groupBonus  = 50   // times as likely is a server that has others of the group
+	groupLoad   = 0.5  // connections that a group counts as, besides its own
+	evenness    = 2.0  // how strongly a server's load tells against it
 
 	standSpan = 60 * sec // memory of the most that stood
 
@@ -88,7 +96,8 @@
 	sec Micros = 1000 * ms
 )
 
-// coldPart is the part used of what the rule allows, at home and away: others and chance take the rest.
+// coldPart is the part of what the rule allows that a server's home balancers use, and all the others: chance
+// takes the rest.
 var coldPart = [2]float64{0.6, 0.2}
 
 // Health is what a balancer thinks of a server.
@@ -120,7 +129,7 @@
 	most              float64        // connections of this balancer's that it seems to carry
 	delay             float64        // the last delay note, as a multiple of the shortest message aim
 	tokensAt, delayAt Micros         // when the tokens were counted, when the note came
-	fall              float64        // by so much the last delay note was lower than the one before
+	rise              float64        // seconds by which its delay grew, a second
 	shutUntil         Micros         // nothing new until then
 	resetAt           Micros         // the last reset by it
 	triedBy           uint32         // request that has tried it last, plus one
@@ -164,20 +173,17 @@
 	askFails, probes int    // asks that failed in a row, validations under way
 
 	unitsMost float64 // the most that was there lately
-	thin      bool    // less of it is there now
+	present   float64 // the part of that which is there now
 	owed      float64 // connections that servers ended, and that may come back
 	meanUnits float64 // size of a ready server
 	aim       Micros  // the shortest message aim; 0 where none is stated
-	movedAt   Micros
 
 	failing         float64 // part of recent set-ups that failed
 	width           float64 // how many there may be
 	setUp           float64 // two thirds of recent set-ups were quicker
+	demand          float64 // requests a second
+	tries, goods    float64 // set-ups that ended or were not begun, and those that stood; they fade
 	retries         float64
-	size            float64 // of home, or an average zone: the most lately
-	standNow        float64 // work that stands now
-	standing        float64 // the most that stood lately
-	fill            float64 // work a second that a cold server may be filled with, once it is warm
 	counted         Micros  // when census looked last
 	meanWork, hints float64 // the mean hint, and how many there were
 }
@@ -185,9 +191,9 @@
 // New returns a balancer that has just started.
 func New(s Settings, seed uint64, now Micros) *Balancer {
 	b := &Balancer{set: s, rng: rand.New(rand.NewPCG(seed, 0x726f62696e6c7567)),
-		byID: map[uint32]*server{}, reqs: map[uint32]*request{}, retries: retryMost, heard: now,
-		movedAt: now, counted: now, meanUnits: 1, width: widthStart}
-	b.nextAsk = now + b.jitter(b.askSpan())
+		byID: map[uint32]*server{}, reqs: map[uint32]*request{}, heard: now,
+		counted: now, meanUnits: 1, present: 1, width: widthStart}
+	b.nextAsk, b.retries = now+b.jitter(b.askSpan()), max(retryMost*b.share(1), 2)
 	for _, c := range s.Classes {
 		if c.MessageAim > 0 && (b.aim == 0 || c.MessageAim < b.aim) {
 			b.aim = c.MessageAim
@@ -242,6 +248,8 @@
 // jitter draws from 0 to d.
 func (b *Balancer) jitter(d Micros) Micros { return Micros(b.rng.Float64() * float64(d)) }
 
+func (d Micros) seconds() float64 { return float64(d) / float64(sec) }
+
 // around draws from 3/4 d to 5/4 d, so that balancers which saw one event don't act on it in step.
 func (b *Balancer) around(d Micros) Micros { return d*3/4 + b.jitter(d/2) }
 
@@ -373,22 +381,23 @@
 	}
 }
 
-// tick does what no event starts: it asks discovery, validates demoted servers, and moves connections.
+// tick does what no event starts: it asks discovery, and validates demoted servers.
 func (b *Balancer) tick(now Micros) {
 	b.timer(b.around(tickEvery), timerTick)
+	b.tries, b.goods = b.tries*throttleFade, b.goods*throttleFade
+	b.demand -= b.demand * tickEvery.seconds() / demandSpan
 	b.census(now)
 	if b.set.Ask && now >= b.nextAsk && (!b.watching || b.asking || b.refresh) {
 		b.ask(now)
 	}
 	for _, s := range b.servers {
 		if now-s.delayAt > noteFresh {
-			s.most += max(s.most*mostGrow, mostLeast) * float64(tickEvery) / float64(sec)
+			s.most += max(s.most*mostGrow, mostLeast) * tickEvery.seconds()
 		}
 		if s.State == Ready && s.health == Unhealthy && now >= s.validateAt {
 			b.validate(now, s)
 		}
 	}
-	b.moves(now)
 }
 
 // askSpan is the time over which all balancers' calls of one cause are spread. Discovery takes one call after
@@ -521,7 +530,12 @@
 			continue
 		}
 		// The least of exponential draws with these rates falls on each server by its share.
-		draw := -math.Log(1-b.draw(r, s)) / (share * b.appeal(r, s))
+		draw := -math.Log(1-b.draw(r, s)) / b.appeal(r, s)
+		if share < 1 { // what its budget allows is little, and would be lost
+			if draw = 0; b.present < 1-thinPart {
+				zone = 0
+			}
+		}
 		if best[zone][rk] == nil || draw < least[zone][rk] {
 			best[zone][rk], least[zone][rk] = s, draw
 		}
@@ -584,7 +598,7 @@
 			r.only = &server{} // which is not ready
 		}
 	}
-	if ev.Returned && b.thin && b.owed >= 1 {
+	if ev.Returned && b.present < 1-thinPart && b.owed >= 1 {
 		r.price = thinPrice
 		b.owed--
 	}
@@ -602,7 +616,8 @@
 	if r == nil {
 		return
 	}
-	b.retries = min(b.retries+retryGrant, retryMost)
+	b.retries = min(b.retries+retryGrant, max(retryMost*b.share(1), 2))
+	b.demand += 1 / demandSpan
 	b.timer(r.due-now, timerDue|uint64(r.id))
 	b.refreshIfLong(now)
 	b.place(now, r)
@@ -625,12 +640,10 @@
 	if r.group != 0 {
 		r.at.groups[r.group]++
 	}
-	b.standNow += r.work
 	r.at.conns = append(r.at.conns, r)
 }
 
 func (b *Balancer) fall(r *request) {
-	b.standNow -= r.work
 	conns := r.at.conns
 	last := conns[len(conns)-1]
 	conns[r.slot], last.slot = last, r.slot
@@ -662,6 +675,11 @@
 		b.timer(min(b.around(holdStep), left), timerHold|uint64(r.id))
 		return
 	}
+	if b.rng.Float64() < (b.tries-throttleTimes*b.goods-throttleFree*b.share(1))/(b.tries+1) {
+		b.tries++
+		b.finish(r)
+		return
+	}
 	if r.sent > 0 {
 		b.retries--
 	}
@@ -781,8 +799,10 @@
 	switch st {
 	case OK:
 		b.failing -= b.failing * failMemory
+		b.tries, b.goods = b.tries+1, b.goods+1
 	case ErrorAnswer, TimedOut:
 		b.failing += (1 - b.failing) * failMemory
+		b.tries++
 	}
 	if st == OK || st == TimedOut {
 		if float64(took) > b.setUp {
@@ -840,54 +860,50 @@
 	if s == nil || ev.Kind != DelayNote || b.aim == 0 {
 		return
 	}
-	was := s.delay
-	if now-s.delayAt > noteFresh {
-		was = 0
+	if now-s.delayAt < noteLeast {
+		return // the same news on another connection
+	}
+	// By how much what waits there grew in a second tells how much more it is sent than it can do.
+	was, span := slowAt, sec
+	if now-s.delayAt <= noteFresh {
+		was, span = s.delay, now-s.delayAt
 	}
 	s.delay, s.delayAt = ev.Value*float64(ms)/float64(b.aim), now
-	s.fall = max(was-s.delay, 0)
+	s.rise = (s.delay - was) * float64(b.aim) / float64(span)
 	switch n := float64(len(s.conns) + s.pending); {
 	case s.delay > slowAt:
 		for _, o := range b.servers {
 			o.tokens = min(o.tokens, fillBurst)
 		}
 		s.most = min(s.most, n)
-		if s.delay > moveAt {
-			s.most = min(s.most, n*mostCut)
-		}
 		b.demoteSoft(now, s)
 		if s.delay > moveAt {
+			s.most = min(s.most, n*mostCut)
 			s.shut(now + noteFresh)
+			b.relieve(now, s)
 		}
 	case s.health != Connected:
 		b.connected(now, s)
 	}
 }
 
-// moves takes connections off servers whose messages are late, a part at a time, the larger the later for
-// their class, unless lateness falls and will soon be over, or there is no place to go and staying is worth
-// something.
-func (b *Balancer) moves(now Micros) {
-	since, free := float64(now-b.movedAt)/float64(sec), b.free(now)
-	for _, s := range b.servers {
-		if !late(now, s) {
+// relieve moves connections off a late server: the part that it is sent beyond what it can do, and of the
+// rest so much that what waits is done within easeSpan. All proxies hear one note and move one part, however
+// many they are. Nothing is moved without a place to go, unless so late that staying is worth nothing.
+func (b *Balancer) relieve(now Micros, s *server) {
+	part := (s.rise + s.delay*float64(b.aim)/float64(easeSpan)) / (1 + max(s.rise, 0))
+	free, most := b.free(now), moveMost*b.present*b.present
+	for i := len(s.conns) - 1; i >= 0; i-- {
+		r := s.conns[i]
+		if r.class.MessageAim <= 0 || b.setUp >= moveSetUp*float64(r.class.Aim) {
 			continue
 		}
-		for i := len(s.conns) - 1; i >= 0; i-- {
-			r := s.conns[i]
-			if r.class.MessageAim <= 0 || b.setUp >= moveSetUp*float64(r.class.Aim) {
-				continue
-			}
-			scale := float64(b.aim) / float64(r.class.MessageAim)
-			over, soon := s.delay*scale, (s.delay-easeSpan*s.fall)*scale
-			if over > moveAt && soon > moveAt && (free >= 1 || over > shedAt) &&
-				b.rng.Float64() < min(moveRate*over, moveMost)*since {
-				b.move(now, r, false)
-				free--
-			}
+		over := s.delay * float64(b.aim) / float64(r.class.MessageAim)
+		if over > moveAt && (free >= 1 || over > shedAt) && b.rng.Float64() < min(part, most) {
+			b.move(now, r, false)
+			free--
 		}
 	}
-	b.movedAt = now
 }
 
 // free tells how many connections the servers that are in time have room for now.
@@ -928,53 +944,40 @@
 
 // ---- Cold budget ----
 
-// census looks how much of the fleet is there, and what a cold server may be filled with. Where a part is
-// gone, more comes back than the rest had, and is let in more slowly. A home that has just lost its servers
-// counts as large as it was, and as the average: the few that are left would each be granted what the zone
-// carried.
+// census looks how much of the fleet is there; while a part is gone, what comes back is let in more slowly.
 func (b *Balancer) census(now Micros) {
-	home, all, units := 0.0, 0.0, 0.0
+	units := 0.0
 	for _, s := range b.servers {
-		if s.State != Ready {
-			continue
-		}
-		all++
-		home += float64(1 - b.away(s))
-		if !s.failed {
+		if s.State == Ready && !s.failed {
 			units += s.Units * b.warmth(now, s)
 		}
 	}
 	fade := max(1-float64(now-b.counted)/float64(standSpan), 0)
-	b.owed *= max(1-owedFade*float64(now-b.counted)/float64(sec), 0)
+	b.owed *= max(1-owedFade*(now-b.counted).seconds(), 0)
 	b.counted = now
 	b.unitsMost = max(units, b.unitsMost*fade)
-	b.thin = units < b.unitsMost*(1-thinPart)
-	b.size = max(home, all/float64(max(b.set.Zones, 1)), b.size*fade, 1)
-	// What a server carries, spread over its warm-up. New connections alone would not do where they live
-	// long: then nearly all that a release or a zone's return brings are old clients coming back.
-	b.standing = max(b.standing*fade, b.standNow, 0)
-	b.fill = b.standing * float64(sec) / float64(b.set.Cold) / b.size
+	b.present = units / max(b.unitsMost, 1)
 }
 
-// coldRoom tells whether a cold server's budget has room: this balancer's part of what the rule lets all
-// send, the work that may fill a server times its warmth and the multiple. It is mostly far under one
+// coldRoom tells whether a cold server's budget has room: what it takes by its size and warmth, times the
+// multiple that the rule allows, shared by all balancers of a zone. A balancer's part is mostly far under one
 // connection, so each window draws it whole or not at all; unused it lapses, or all would spend their savings
 // together.
 func (b *Balancer) coldRoom(now Micros, s *server, warmth float64) bool {
 	if now-s.window >= b.set.TipAfter {
 		s.window = now
-		b.census(now)
-		part := coldPart[b.away(s)] * s.Units / b.meanUnits * b.set.OverloadFactor * warmth * b.fill *
-			float64(b.set.TipAfter) / float64(sec)
-		whole := math.Floor(part)
-		if b.rng.Float64() < part-whole {
-			whole++
-		}
-		s.left = min(s.left, 0) + whole
+		part := coldPart[b.away(s)] * coldRate * s.Units / b.meanUnits * warmth * b.set.OverloadFactor *
+			b.share(max(b.set.Zones, 1)) * b.set.TipAfter.seconds() / min(max(b.demand, leastDemand), 1)
+		s.left = min(s.left, 0) + math.Floor(part+b.rng.Float64()) // whole, or one more by chance
 	}
 	return s.left > 0
 }
 
+// share is this balancer's part of what each of so many parts of the fleet may do together.
+func (b *Balancer) share(parts int) float64 {
+	return min(float64(parts)/float64(max(b.set.Balancers, 1)), 1)
+}
+
 // room tells whether s may be sent one more connection now. Whether one is too much shows a second or two
 // later, so a crowd is let in at a rate, each server by its size, and goes on to other zones where home has
 // had its part. A server that told of lateness gets no more than it had then until it has been in time for a
@@ -982,7 +985,7 @@
 func (b *Balancer) room(now Micros, r *request, s *server) bool {
 	size := s.Units / b.meanUnits
 	if burst := max(fillBurst*size, r.price); s.tokens < burst {
-		s.tokens = min(s.tokens+fillRate*size*float64(now-s.tokensAt)/float64(sec), burst)
+		s.tokens = min(s.tokens+fillRate*size*(now-s.tokensAt).seconds(), burst)
 	}
 	s.tokensAt = now
 	return b.set.Pass || s.tokens >= r.price && float64(len(s.conns)+s.pending) < s.most
