Begin the channel experiments; don't time lines that wait for a client to read

In the relay: a line that waited because its client does not read says nothing of its target, and is no longer timed (test without bench); the log tells of kept bytes, failed trunks and echoes where channels are on.

--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -11,30 +11,33 @@
 
 // The names of fields. A name means the same wherever it is used: operators' scripts read them.
 const (
-	Listen    = "listen"    // address where clients connect
-	Discovery = "discovery" // address of discovery
-	Site      = "site"      // the site file's name of the installation
-	Target    = "target"    // an egress target, by its instance id
-	Standing  = "standing"  // client connections held
-	Sockets   = "sockets"   // descriptors of sockets held
-	Left      = "left"      // client connections that a stop cut off
-	Taken     = "taken"     // first lines taken, since the start
-	Up        = "up"        // connections that came to stand, since the start
-	Shed      = "shed"      // refusals, since the start
-	Failed    = "failed"    // failures told to clients, since the start
-	Moved     = "moved"     // MOVE said, since the start
-	Silent    = "silent"    // connections ended for bringing nothing back, since the start
-	Odd       = "odd"       // targets' answers that the protocol does not have, since the start
-	Evicted   = "evicted"   // idle connections closed for want of descriptors, since the start
-	Minted    = "minted"    // resume tokens given, since the start
-	Resumed   = "resumed"   // streams that continued with a token, since the start
-	Stale     = "stale_"    // with the reason behind it: tokens refused, since the start
-	Muxed     = "muxed"     // client connections with channels
-	Trunks    = "trunks"    // connections with channels to targets
-	TrunkHops = "hops"      // channels on them
-	Promised  = "promised"  // bytes that peers may send on channels without asking, and what is kept of theirs
-	Count     = "count"     // how many of what the message speaks of
-	Reason    = "reason"    // why, as one word
+	Listen       = "listen"        // address where clients connect
+	Discovery    = "discovery"     // address of discovery
+	Site         = "site"          // the site file's name of the installation
+	Target       = "target"        // an egress target, by its instance id
+	Standing     = "standing"      // client connections held
+	Sockets      = "sockets"       // descriptors of sockets held
+	Left         = "left"          // client connections that a stop cut off
+	Taken        = "taken"         // first lines taken, since the start
+	Up           = "up"            // connections that came to stand, since the start
+	Shed         = "shed"          // refusals, since the start
+	Failed       = "failed"        // failures told to clients, since the start
+	Moved        = "moved"         // MOVE said, since the start
+	Silent       = "silent"        // connections ended for bringing nothing back, since the start
+	Odd          = "odd"           // targets' answers that the protocol does not have, since the start
+	Evicted      = "evicted"       // idle connections closed for want of descriptors, since the start
+	Minted       = "minted"        // resume tokens given, since the start
+	Resumed      = "resumed"       // streams that continued with a token, since the start
+	Stale        = "stale_"        // with the reason behind it: tokens refused, since the start
+	Muxed        = "muxed"         // client connections with channels
+	Trunks       = "trunks"        // connections with channels to targets
+	TrunkHops    = "hops"          // channels on them
+	Promised     = "promised"      // bytes that peers may send on channels without asking, and what is kept of theirs
+	Kept         = "kept"          // bytes that wait for clients and targets to take them
+	TrunksFailed = "trunks_failed" // trunks that broke or could not be opened, since the start
+	Echoes       = "echoes"        // outcomes that had the cause of another, and were no evidence, since the start
+	Count        = "count"         // how many of what the message speaks of
+	Reason       = "reason"        // why, as one word
 )
 
 // Format is how lines are written.
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -115,8 +115,12 @@
 // read reads what the target sends.
 func (h *hop) read() {
 	for range fairRounds {
-		if h.over || !h.connected || h.s.in.Pending() > h.r.maxPending {
-			return // in the last case it is read on when the client has caught up
+		if h.over || !h.connected {
+			return
+		}
+		if h.s.in.Pending() > h.r.maxPending {
+			h.s.stalled = true // it is read on when the client has caught up
+			return
 		}
 		n, err := h.out.Read(h.r.scratch)
 		if errors.Is(err, loop.ErrAgain) {
@@ -221,7 +225,9 @@
 	if t := h.trunk; t != nil {
 		delete(t.hops, h)
 		h.r.pool.Done(h.r.l.Now(), t.id)
-		h.echo = !t.evidence()
+		if h.echo = !t.evidence(); h.echo {
+			h.r.counts.echoes++
+		}
 	}
 	s := h.s
 	s.hop = nil
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -77,7 +77,7 @@
 }
 
 // counts are what the log tells now and then.
-type counts struct{ taken, up, shed, failed, moved, silent, odd, evicted int }
+type counts struct{ taken, up, shed, failed, moved, silent, odd, evicted, trunksFailed, echoes int }
 
 // New starts a relay on the loop: it listens, and its module starts from the known list.
 func New(l *loop.Loop, cfg Config, log *logrus.Logger) (*Relay, error) {
@@ -247,6 +247,17 @@
 	return r.targets[num]
 }
 
+// kept is how many bytes wait for clients and targets to take them.
+func (r *Relay) kept() (bytes int) {
+	for _, s := range r.sessions.All {
+		bytes += s.in.Pending() + len(s.kept.torn)
+		if s.hop != nil && s.hop.out != nil {
+			bytes += s.hop.out.Pending()
+		}
+	}
+	return bytes
+}
+
 const (
 	sweepEvery  = 200 * ms
 	reportEvery = 5 * sec
@@ -263,7 +274,8 @@
 	if r.cfg.Channels != nil {
 		trunks, hops := r.pool.Len()
 		fields[logs.Muxed], fields[logs.Trunks], fields[logs.TrunkHops] = len(r.muxes), trunks, hops
-		fields[logs.Promised] = r.budget.Promised()
+		fields[logs.Promised], fields[logs.Kept] = r.budget.Promised(), r.kept()
+		fields[logs.TrunksFailed], fields[logs.Echoes] = r.counts.trunksFailed, r.counts.echoes
 	}
 	r.log.WithFields(fields).Info("so far")
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -496,6 +496,15 @@
 	if silent != 0 {
 		t.Fatal("a slow reader was taken for a silent target")
 	}
+	client.say("T 1\r\n")
+	target.want("T 1\r\n")
+	defer func() {
+		samples := 0
+		g.inLoop(func() { samples = len(g.r.pace(0).samples) })
+		if samples > 0 {
+			t.Errorf("a line that waited for its client to read was timed: %+v", g.r.pace(0).samples)
+		}
+	}()
 	for i := range lines {
 		if got := client.line(); got != "0123456789abcdef0123456789abcdef\r\n" {
 			t.Fatalf("line %d: %q", i, got)
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -80,6 +80,7 @@
 	waiting  []loop.Micros
 	lastBack loop.Micros
 	verdict  logic.Status // what the target's last words make of its end
+	stalled  bool         // its client does not read, and so its target is not read either
 	moving   bool         // moved as soon as the line under way has ended
 	kept     keeper       // of lines, where only whole ones are passed on
 	stream   *stream      // of a client that takes tokens
@@ -104,9 +105,14 @@
 
 // Flushed tells that the client has caught up.
 func (s *session) Flushed() {
-	if s.hop != nil && (s.phase == open || s.phase == leaving) {
-		s.hop.read()
+	if s.hop == nil || s.phase != open && s.phase != leaving {
+		return
+	}
+	if s.stalled {
+		// What its target has answered meanwhile was left unread: how long that took is no fault of the target's.
+		s.stalled, s.waiting, s.lastBack = false, s.waiting[:0], s.r.l.Now()
 	}
+	s.hop.read()
 }
 
 // Readable reads what the client sends.
--- a/internal/relay/trunk.go
+++ b/internal/relay/trunk.go
@@ -164,6 +164,7 @@
 	if status == logic.Moot { // this machine's own want
 		t.r.pool.Retired(t.id)
 	} else {
+		t.r.counts.trunksFailed++
 		t.r.pool.Failed(t.r.l.Now(), t.id)
 	}
 	waiting := t.drop()
--- a/lab/check/check.go
+++ b/lab/check/check.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -25,6 +26,7 @@
 	tokens  map[string]*tokenUse
 	opens   map[string]string // why the client opened, by the id of its first line
 	up      map[string]int    // connections that are up, by node
+	copies  map[string]int    // and by the id of their first line
 	emptied map[string]time.Time
 	now     Figures
 	scratch []byte
@@ -48,9 +50,19 @@
 	SessionOpens, StartOvers map[string]int
 	// Answers are the final answers that clients read to a token, by their first words.
 	Answers map[string]int
-	Delays  []time.Duration // of messages, from when they were due until they were read
-	Gaps    []time.Duration // without a standing connection, from each end to the next UP
-	Ups     []time.Time     // of connections that came to stand after an earlier one of their stream
+	// SecondCopies are first lines that came to stand at a node while the same line stood at another or the same.
+	SecondCopies int
+	Focus        Focus
+	Delays       []time.Duration // of messages, from when they were due until they were read
+	Gaps         []time.Duration // without a standing connection, from each end to the next UP
+	Ups          []time.Time     // of connections that came to stand after an earlier one of their stream
+}
+
+// Focus is what was counted of the streams that Watch names.
+type Focus struct {
+	Delays []time.Duration // of their messages
+	Gap    time.Duration   // the longest between two messages of one of them
+	Ends   int             // of their connections
 }
 
 type clientConn struct {
@@ -63,6 +75,7 @@
 
 type nodeConn struct {
 	key   uint64
+	id    string
 	token string
 	up    bool
 }
@@ -77,6 +90,9 @@
 	endedAt  time.Time // zero while one stands or none has
 	standing int       // connections of the client's that stand; two only if something is wrong
 	live     int       // connections of it that are up at nodes
+	at       string    // the node where the last of them came up
+	focus    bool
+	heard    time.Time // of its last message while in focus
 }
 
 // AfterToken begins the reason of a client that started over though it had been given a token.
@@ -92,7 +108,7 @@
 // New returns a checker of streams from an index.
 func New(x *index.Index) *Checker {
 	c := &Checker{index: x, clients: map[uint64]*clientConn{}, nodes: map[uint64]*nodeConn{}, streams: map[uint64]*stream{},
-		tokens: map[string]*tokenUse{}, opens: map[string]string{}, up: map[string]int{}, emptied: map[string]time.Time{}}
+		tokens: map[string]*tokenUse{}, opens: map[string]string{}, up: map[string]int{}, copies: map[string]int{}, emptied: map[string]time.Time{}}
 	c.reset()
 	return c
 }
@@ -228,7 +244,31 @@
 		c.now.Lost += int(n - s.cursor - 1)
 	}
 	s.cursor = n
-	c.now.Delays = append(c.now.Delays, e.At.Sub(c.index.Due(k.key, n)))
+	delay := e.At.Sub(c.index.Due(k.key, n))
+	c.now.Delays = append(c.now.Delays, delay)
+	if s.focus {
+		f := &c.now.Focus
+		f.Delays = append(f.Delays, delay)
+		if !s.heard.IsZero() {
+			f.Gap = max(f.Gap, e.At.Sub(s.heard))
+		}
+		s.heard = e.At
+	}
+}
+
+// Watch has the streams that choose picks counted in Focus from now on: it is given a stream's key, and the node where it
+// stands. It returns how many there are.
+func (c *Checker) Watch(choose func(key uint64, node string) bool) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for key, s := range c.streams {
+		s.focus, s.heard = choose(key, s.at), time.Time{}
+		if s.focus {
+			n++
+		}
+	}
+	return n
 }
 
 // broken notes that a connection that stood is over.
@@ -241,6 +281,9 @@
 	if s.standing--; s.standing == 0 {
 		s.endedAt = e.At
 	}
+	if s.focus {
+		c.now.Focus.Ends++
+	}
 }
 
 func (c *Checker) clientEnded(e tap.Event, k *clientConn) {
@@ -265,7 +308,7 @@
 		if err != nil {
 			return
 		}
-		c.nodes[e.Conn] = &nodeConn{key: o.Key, token: o.Token}
+		c.nodes[e.Conn] = &nodeConn{key: o.Key, id: o.ID, token: o.Token}
 		if o.Token == "" {
 			c.now.SessionOpens[c.opens[o.ID]]++
 		}
@@ -276,6 +319,9 @@
 			if c.up[e.Name]--; c.up[e.Name] == 0 {
 				c.emptied[e.Name] = e.At
 			}
+			if c.copies[k.id]--; c.copies[k.id] == 0 {
+				delete(c.copies, k.id)
+			}
 			c.stream(k.key).live--
 			if k.token != "" {
 				c.tokens[k.token].live--
@@ -284,8 +330,12 @@
 	case e.Sent && !k.up && bytes.HasPrefix(e.Line, []byte("UP ")):
 		k.up = true
 		c.up[e.Name]++
+		if c.copies[k.id]++; c.copies[k.id] > 1 {
+			c.now.SecondCopies++
+		}
 		s := c.stream(k.key)
 		s.live++
+		s.at = e.Name
 		c.now.MaxStream = max(c.now.MaxStream, s.live)
 		if k.token == "" {
 			return
@@ -311,6 +361,19 @@
 	return f
 }
 
+// Missing tells of the streams that have no standing connection how their last one ended.
+func (c *Checker) Missing() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := map[string]int{}
+	for _, s := range c.streams {
+		if s.standing <= 0 {
+			out[cmp.Or(s.why, "nothing told")]++
+		}
+	}
+	return out
+}
+
 // Add adds the figures of a later stretch.
 func (f *Figures) Add(g Figures) {
 	f.Messages += g.Messages
@@ -321,6 +384,7 @@
 	f.Tokens += g.Tokens
 	f.Honoured += g.Honoured
 	f.Moves += g.Moves
+	f.SecondCopies += g.SecondCopies
 	f.MaxLive, f.MaxEver, f.MaxStream = max(f.MaxLive, g.MaxLive), max(f.MaxEver, g.MaxEver), max(f.MaxStream, g.MaxStream)
 	for _, m := range []struct{ to, from map[string]int }{{f.SessionOpens, g.SessionOpens}, {f.StartOvers, g.StartOvers}, {f.Answers, g.Answers}} {
 		for k, n := range m.from {
--- a/lab/check/check_test.go
+++ b/lab/check/check_test.go
@@ -87,6 +87,8 @@
 			return f.Answers["STALE gone"] == 1 && f.SessionOpens["token, then STALE gone"] == 1 && f.SessionOpens["first"] == 1 && f.SessionCalls() == 2
 		}},
 		"broken":                        {begin + "\nc 1 end\nc 3 > OPEN d 5 c=s,d=1,cur=4\nn 3 < OPEN d 5 c=s,d=1,cur=4", func(f *Figures) bool { return f.SessionOpens["end without MOVE"] == 1 }},
+		"a second copy":                 {begin + "\nn 3 < OPEN a 5 c=s,d=1\nn 3 > UP r", func(f *Figures) bool { return f.SecondCopies == 1 }},
+		"tried again":                   {begin + "\nn 1 end\nn 3 < OPEN a 5 c=s,d=1\nn 3 > UP r", func(f *Figures) bool { return f.SecondCopies == 0 }},
 		"plain, begins where it begins": {"c 1 > OPEN a 5 c=s,d=1\nc 1 < UP r\nc 1 < #7\nc 1 < #9", func(f *Figures) bool { return f.Lost == 1 && f.Messages == 2 }},
 	} {
 		f := play(t, c.script).Split()
--- /dev/null
+++ b/lab/gate/gate.go
@@ -0,0 +1,49 @@
+// Package gate lets goroutines be held up, all at once, for as long as someone wants.
+package gate
+
+import "sync"
+
+// Gate is open until it is shut. The zero Gate is open.
+type Gate struct {
+	mu   sync.Mutex
+	open chan struct{} // closed while the gate is open; nil as long as it was never shut
+}
+
+// Shut holds up whoever passes from now on.
+func (g *Gate) Shut() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.open == nil {
+		g.open = make(chan struct{})
+		return
+	}
+	select {
+	case <-g.open:
+		g.open = make(chan struct{})
+	default: // shut already
+	}
+}
+
+// Open lets all pass.
+func (g *Gate) Open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.open == nil {
+		return
+	}
+	select {
+	case <-g.open:
+	default:
+		close(g.open)
+	}
+}
+
+// Pass waits while the gate is shut.
+func (g *Gate) Pass() {
+	g.mu.Lock()
+	open := g.open
+	g.mu.Unlock()
+	if open != nil {
+		<-open
+	}
+}
