Judge a server that was demoted for late notes by its notes, without probes

Seen, counted across the fleet: 30 to 90 probes a second, nearly all OK, of servers whose notes said they were late. At fault: tick validated every demoted server alike; a probe is answered beside the queue of messages, so it brought back at rank 0 what its next note demoted again, and each such probe is 2 to 4 ms of a late server's work. Ruled out: crashed servers, a tenth of the probes.

Failures, and servers with nothing left, are probed as before.

--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -216,3 +216,35 @@
 		}
 	}
 }
+
+// A server that is late for all is late by its own notes: eighty balancers that hold connections there don't probe it,
+// and trust it again once the notes have ceased.
+func TestFleetDoesNotProbeWhatTellsOfItself(t *testing.T) {
+	m := newMany(t, 80, settings(), fleet(4, 4))
+	probes := 0
+	m.answer = func(_ int, a Action) {
+		if _, ok := a.(Probe); ok {
+			probes++
+		}
+	}
+	for i := range m.bs {
+		for id := range uint32(4) {
+			m.tell(i, Open{Request: Request{ID: id}, Server: id%2 + 1})
+		}
+	}
+	for range 6 {
+		for i := range m.bs {
+			m.tell(i, Note{ID: 0, Server: 1, Kind: DelayNote, Value: 50})
+		}
+		m.run(m.now + sec)
+	}
+	if probes > 0 {
+		t.Errorf("%d probes", probes)
+	}
+	m.run(m.now + 10*sec)
+	for i, b := range m.bs {
+		if s := b.byID[1]; s.health != Connected {
+			t.Fatalf("balancer %d still holds it for %v", i, s.health)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -96,8 +96,7 @@
 	sec Micros = 1000 * ms
 )
 
-// coldPart is the part of what the rule allows that a server's home balancers use, and all the others: chance
-// takes the rest.
+// coldPart is the part of what the rule allows that a server's home balancers use, and each other zone's.
 var coldPart = [2]float64{0.6, 0.2}
 
 // Health is what a balancer thinks of a server.
@@ -209,7 +208,7 @@
 	timerHold
 )
 
-// Handle takes one event and appends what is to be done about it to out.
+// Handle takes one event and appends to out what is to be done.
 func (b *Balancer) Handle(now Micros, ev Event, out []Action) []Action {
 	b.out = out
 	if !b.started {
@@ -394,8 +393,12 @@
 		if now-s.delayAt > noteFresh {
 			s.most += max(s.most*mostGrow, mostLeast) * tickEvery.seconds()
 		}
-		if s.State == Ready && s.health == Unhealthy && now >= s.validateAt {
+		switch {
+		case s.State != Ready || s.health != Unhealthy || now < s.validateAt:
+		case s.failed || len(s.conns) == 0:
 			b.validate(now, s)
+		case now-s.delayAt > noteFresh: // its notes told that it was late, and tell no more
+			b.connected(now, s)
 		}
 	}
 }
@@ -447,7 +450,7 @@
 
 // loaded tells whether a load report shows a server with no room; what is absent or no number says nothing.
 func (b *Balancer) loaded(r Report) bool {
-	at := slices.Index(b.set.Columns, "x0") // its load over its capacity
+	at := slices.Index(b.set.Columns, "x0")
 	return at >= 0 && at < r.N && r.Values[at] > loadFull && !math.IsInf(float64(r.Values[at]), 0)
 }
 
@@ -469,8 +472,7 @@
 // late tells that messages at s are known to miss their aim now.
 func late(now Micros, s *server) bool { return s.delay > moveAt && now-s.delayAt < noteFresh }
 
-// shut keeps s from getting anything new for a while, whatever else there is: an overloaded server would
-// serve one more connection no better, and it would cost all that are there.
+// shut keeps s from getting anything new for a while: one more would cost all that are there.
 func (s *server) shut(until Micros) { s.shutUntil = max(s.shutUntil, until) }
 
 // warmth is the part of its capacity that a server surely has: ColdFrom, and more as evenly as it warms.
@@ -906,7 +908,6 @@
 	}
 }
 
-// free tells how many connections the servers that are in time have room for now.
 func (b *Balancer) free(now Micros) float64 {
 	free := 0.0
 	for _, s := range b.servers {
@@ -991,8 +992,7 @@
 	return b.set.Pass || s.tokens >= r.price && float64(len(s.conns)+s.pending) < s.most
 }
 
-// spend books an attempt on its budget. A heavy one leaves a debt; a light one costs as much to set up as
-// any.
+// spend books an attempt on its budget. A light one costs as much to set up as any.
 func (b *Balancer) spend(now Micros, s *server, r *request) {
 	work := max(r.work, 1)
 	if b.warmth(now, s) < 1 {
