Take a ratio over nothing as not measured, so that the report can be written

At fault: a bound's ratio over a figure that was 0 or not measured. It now counts as not measured and breaks its bound; a test writes such a report, and fails without.

--- a/lab/experiment/experiment.go
+++ b/lab/experiment/experiment.go
@@ -190,7 +190,7 @@
 		name := string(b.Name)
 		if b.Over != "" {
 			name += "_ratio"
-			r.Figures[name] = r.Figures[string(b.Name)] / r.Figures[string(b.Over)]
+			r.Ratio(name, string(b.Name), string(b.Over))
 		}
 		if b.Least > 0 {
 			r.Check(name, float64(b.Least), true)
--- a/lab/report/report.go
+++ b/lab/report/report.go
@@ -46,6 +46,14 @@
 	r.Pass = !slices.ContainsFunc(r.Bounds, func(b Bound) bool { return !b.OK })
 }
 
+// Ratio keeps one figure over another under a name of its own. Over nothing measured, or over 0, there is no ratio: a
+// bound on it is broken, as on any figure that was not measured.
+func (r *Report) Ratio(name, of, over string) {
+	if under := r.Figures[over]; under != 0 {
+		r.Figures[name] = r.Figures[of] / under
+	}
+}
+
 // Table writes the report for people.
 func (r *Report) Table(to io.Writer) error {
 	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
--- a/lab/report/report_test.go
+++ b/lab/report/report_test.go
@@ -20,6 +20,10 @@
 	if r.Pass {
 		t.Error("a figure that was not measured passes")
 	}
+	r.Ratio("none_ratio", "honoured", "lost")
+	if r.Check("none_ratio", 1, false); r.Bounds[len(r.Bounds)-1].OK {
+		t.Error("a ratio over 0 holds its bound")
+	}
 	// Charts of no point, of one, and with a gap are drawn, too.
 	r.Charts = []Chart{{Name: "empty", Series: []Series{{Name: "none"}}}, {Name: "one", Series: []Series{{Name: "dot", X: []float64{1}, Y: []float64{2}}}},
 		{Name: "two", Series: []Series{Percentiles("p", []float64{3, 1, 2}), Counts("c", []float64{0.05, 0.15, 5}, 0.1)}}}
@@ -47,7 +51,7 @@
 		}
 		Figures map[string]float64
 	}
-	if err := json.Unmarshal(text, &got); err != nil || got.Seed != 3 || got.Pass || len(got.Bounds) != 3 || got.Bounds[2].OK || got.Figures["honoured"] != 7 {
+	if err := json.Unmarshal(text, &got); err != nil || got.Seed != 3 || got.Pass || len(got.Bounds) != 4 || got.Bounds[2].OK || got.Figures["honoured"] != 7 {
 		t.Errorf("%+v, %v", got, err)
 	}
 	var out bytes.Buffer
