--- a/lab/experiment/experiment.go
+++ b/lab/experiment/experiment.go
@@ -449,7 +449,10 @@
 	}
 	pl.more["sibling_max_gap_ms"] = max(pl.more["sibling_max_gap_ms"], pl.more[as+"max_gap_ms"])
 	pl.more["sibling_ends"] += float64(ends)
-	pl.more["sibling_p99_ratio"] = max(pl.more["sibling_p99_ratio"], p99/pl.more["before_p99_ms"])
+	// Where nothing was watched before, there is no ratio, and a bound on it is broken.
+	if before := pl.more["before_p99_ms"]; before > 0 {
+		pl.more["sibling_p99_ratio"] = max(pl.more["sibling_p99_ratio"], p99/before)
+	}
 	return nil
 }
 
