--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -17,6 +17,9 @@
 	answer func(i int, a Action) // what the world makes of an action
 }
 
+// seeds is how many are played of what must hold for any.
+const seeds, manySeeds = 12, 60
+
 type due struct {
 	at  Micros
 	seq int // events of one moment keep their order
@@ -34,12 +37,12 @@
 func (d *dues) Pop() any     { x := (*d)[len(*d)-1]; *d = (*d)[:len(*d)-1]; return x }
 
 // newMany starts n balancers in one moment, spread over the zones, with the same list.
-func newMany(t *testing.T, n int, s Settings, list []Entry) *many {
+func newMany(t *testing.T, n int, s Settings, list []Entry, seed uint64) *many {
 	m := &many{t: t, now: start, answer: func(int, Action) {}}
 	s.Balancers = n
 	for i := range n {
 		s.Rank, s.Zone = i, i%max(s.Zones, 1)
-		m.bs = append(m.bs, New(s, uint64(i)*77+5, start))
+		m.bs = append(m.bs, New(s, uint64(i)*77+seed, start))
 	}
 	for i := range n {
 		m.tell(i, Update{Kind: Cached, Entries: list})
@@ -114,22 +117,24 @@
 		"eighty, slow":            {80, 200 * ms, 0, 70 * sec, 22},
 		"eighty, after an outage": {80, 200 * ms, 6 * sec, 80 * sec, 30},
 	} {
-		s := settings()
-		s.Ask = true
-		m := newMany(t, c.n, s, fleet(3, 3))
-		q := &queue{m: m, each: c.each, down: start + c.down, calls: map[Micros]int{}, fresh: map[int]Micros{}}
-		m.answer = func(i int, a Action) {
-			if _, ok := a.(Watch); ok {
-				q.ask(i)
+		for seed := range uint64(seeds) {
+			s := settings()
+			s.Ask = true
+			m := newMany(t, c.n, s, fleet(3, 3), seed)
+			q := &queue{m: m, each: c.each, down: start + c.down, calls: map[Micros]int{}, fresh: map[int]Micros{}}
+			m.answer = func(i int, a Action) {
+				if _, ok := a.(Watch); ok {
+					q.ask(i)
+				}
 			}
-		}
-		m.run(start + c.fresh)
-		if len(q.fresh) != c.n {
-			t.Errorf("%s: %d of %d have a fresh list after %d s", name, len(q.fresh), c.n, c.fresh/sec)
-		}
-		for second, n := range q.calls {
-			if n > c.most {
-				t.Errorf("%s: %d calls in second %d", name, n, second-start/sec)
+			m.run(start + c.fresh)
+			if len(q.fresh) != c.n {
+				t.Errorf("%s, seed %d: %d of %d have a fresh list after %d s", name, seed, len(q.fresh), c.n, c.fresh/sec)
+			}
+			for second, n := range q.calls {
+				if n > c.most {
+					t.Errorf("%s, seed %d: %d calls in second %d", name, seed, n, second-start/sec)
+				}
 			}
 		}
 	}
@@ -140,7 +145,7 @@
 func TestFleetKeepsGroupsTogether(t *testing.T) {
 	s := settings()
 	s.Zones = 1
-	m := newMany(t, 40, s, nil)
+	m := newMany(t, 40, s, nil, 5)
 	for i := range m.bs {
 		list := fleet(8, 0)
 		for j := range list {
@@ -171,47 +176,63 @@
 	}
 }
 
+// What a warm server of mean size takes in a second, measured; see docs/design/fleet.md. A fleet's budget for a cold
+// one stays under the rule's multiple of this.
+const warmTakes = 3.8
+
 // What eighty balancers send a cold server stays under what the rule allows in every second, though each has a part of
-// far less than one connection; and where few of them have a request in a second, what it could take is not wasted.
+// far less than one connection, also where all of them get a request at once after a quiet time; and where few have a
+// request in a second, what it could take is not all wasted.
 func TestFleetKeepsColdBudget(t *testing.T) {
 	for title, c := range map[string]struct {
-		every       Micros  // a request at each balancer
-		least, most float64 // of what is allowed
-	}{"a crowd": {500 * ms, 0.2, 1}, "a request a second": {sec, 0.2, 1}, "sparse": {4 * sec, 0.1, 1}} {
-		s := settings()
-		s.Zones = 1
-		list := append(fleet(4, 0), Entry{Server: 50, Name: name(50), State: Ready, Started: start})
-		m := newMany(t, 80, s, list)
-		sent := map[Micros]float64{}
-		m.answer = func(i int, a Action) {
-			if a, ok := a.(Send); ok {
-				if a.Server == 50 {
-					sent[(m.now-start)/sec]++
+		zones              int
+		every, first, over Micros  // a request at each balancer so often, the first then, spread over that
+		least              float64 // of what is allowed
+	}{
+		"a crowd":                   {1, 500 * ms, 0, 500 * ms, 0.1},
+		"a request a second":        {1, sec, 0, sec, 0.1},
+		"sparse":                    {1, 4 * sec, 0, 4 * sec, 0.05},
+		"all at once, now and then": {1, 6 * sec, 5 * sec, sec, 0},
+		"all at once, three zones":  {3, 6 * sec, 5 * sec, sec, 0},
+		"a crowd, three zones":      {3, 500 * ms, 0, 500 * ms, 0.1},
+	} {
+		sums, limits := map[Micros]float64{}, map[Micros]float64{}
+		for seed := range uint64(manySeeds) {
+			s := settings()
+			s.Zones = c.zones
+			m := newMany(t, 80, s, append(fleet(4, 0), Entry{Server: 50, Name: name(50), State: Ready, Started: start}), seed)
+			m.answer = func(i int, a Action) {
+				if a, ok := a.(Send); ok {
+					if a.Server == 50 {
+						sums[(m.now-start)/sec]++
+					}
+					m.after(20*ms, func() { m.tell(i, Established{ID: a.ID, Server: a.Server, Took: 20 * ms}) })
 				}
-				m.after(20*ms, func() { m.tell(i, Established{ID: a.ID, Server: a.Server, Took: 20 * ms}) })
 			}
-		}
-		next := uint32(0)
-		for i := range m.bs {
-			var ask func()
-			ask = func() {
-				next++
-				m.tell(i, Request{ID: next, Left: sec, Key: uint64(next)})
-				m.after(c.every, ask)
+			for i := range m.bs { // part of the fleet is out: then cold servers of other zones are filled, too
+				m.tell(i, Update{Kind: Delta, Entries: []Entry{{Server: 1, Name: name(1), State: Gone}}})
+			}
+			next := uint32(0)
+			for i := range m.bs {
+				var ask func()
+				ask = func() {
+					next++
+					m.tell(i, Request{ID: next, Left: sec, Key: uint64(next)})
+					m.after(c.every, ask)
+				}
+				m.after(c.first+c.over*Micros(i)/80, ask)
 			}
-			m.after(c.every*Micros(i)/80, ask)
+			m.run(start + 18*sec)
 		}
-		m.run(start + 18*sec)
 		all, allowed := 0.0, 0.0
 		for second := range Micros(18) {
-			warmth := s.ColdFrom + (1-s.ColdFrom)*(float64(second)+0.5)/20
-			limit := s.OverloadFactor * coldRate * warmth
-			all, allowed = all+sent[second], allowed+limit
-			if chance := 3 * math.Sqrt(limit); sent[second] > limit+chance {
-				t.Errorf("%s: %.0f sent in second %d, %.1f allowed", title, sent[second], second, limit)
+			limits[second] = manySeeds * 2.5 * warmTakes * (0.2 + 0.8*(float64(second)+0.5)/20)
+			all, allowed = all+sums[second], allowed+limits[second]
+			if chance := 3 * math.Sqrt(limits[second]); sums[second] > limits[second]+chance {
+				t.Errorf("%s: %.1f sent in second %d, %.1f allowed", title, sums[second]/manySeeds, second, limits[second]/manySeeds)
 			}
 		}
-		if all < c.least*allowed || all > c.most*allowed {
+		if all < c.least*allowed {
 			t.Errorf("%s: %.0f sent of %.0f allowed", title, all, allowed)
 		}
 	}
@@ -220,7 +241,7 @@
 // A server that is late for all is late by its own notes: eighty balancers that hold connections there don't probe it,
 // and trust it again once the notes have ceased.
 func TestFleetDoesNotProbeWhatTellsOfItself(t *testing.T) {
-	m := newMany(t, 80, settings(), fleet(4, 4))
+	m := newMany(t, 80, settings(), fleet(4, 4), 5)
 	probes := 0
 	m.answer = func(_ int, a Action) {
 		if _, ok := a.(Probe); ok {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -9,8 +9,7 @@
 	"slices"
 )
 
-// Every tuned constant. The troubles answered here last seconds to half a minute; the note's minute outlasts
-// them.
+// Every tuned constant. The troubles answered here last seconds to half a minute, not the note's minute.
 const (
 	tickEvery = 250 * ms // how often the slow work is looked at: validation, discovery, moves
 
@@ -54,7 +53,6 @@
 	resetPause = 2 * sec  // the same after a reset
 	resetPair  = 1 * sec  // two resets within this are the doing of the server
 
-	// Shared faults.
 	failMemory = 0.1
 	setUpRise  = 1.6 // with setUpFall, settles where about two thirds of set-ups are quicker
 	setUpFall  = 1.25
@@ -74,21 +72,20 @@
 	widthLeast, widthMost, widthStart = 2.0, 40.0, 12.0
 
 	// Filling servers.
-	coldRate    = 3.3  // connections a second that a warm server of mean size takes, for a cold one's budget
-	leastDemand = 0.33 // requests a second that a balancer counts on at least
-	demandSpan  = 2.5  // seconds over which they are counted
-	fillRate    = 3.5  // connections a second that a warm server of mean size gets at most
-	fillBurst   = 8    // and at once
-	fillFirst   = 18   // by a balancer that has just started, until a server tells of lateness
-	thinPart    = 0.07 // of the fleet is out: what comes back is more than the rest had
-	thinPrice   = 2.5  // of the filling rate, for each of those
-	owedFade    = 0.1  // a second, of those that are still to come back
-	mostCut     = 0.9  // of what a server had that could not carry it, it may have again
-	mostGrow    = 0.05 // a second, by which that rises while it is in time
-	mostLeast   = 1.0  // the same, in connections
-	groupBonus  = 50   // times as likely is a server that has others of the group
-	groupLoad   = 0.5  // connections that a group counts as, besides its own
-	evenness    = 2.0  // how strongly a server's load tells against it
+	coldRate   = 3.8  // connections a second that a warm server of mean size takes, for a cold one's budget
+	fillRate   = 3.5  // connections a second that a warm server of mean size gets at most
+	fillBurst  = 8    // and at once
+	fillFirst  = 18   // by a balancer that has just started, until a server tells of lateness
+	thinPart   = 0.07 // of the fleet is out: what comes back is more than the rest had
+	thinPrice  = 2.5  // of the filling rate, for each of those
+	owedFade   = 0.1  // a second, of those that are still to come back
+	mostCut    = 0.9  // of what a server had that could not carry it, it may have again
+	mostGrow   = 0.05 // a second, by which that rises while it is in time
+	mostLeast  = 1.0  // the same, in connections
+	groupBonus = 50   // times as likely is a server that has others of the group
+	groupLoad  = 0.5  // connections that a group counts as, besides its own
+	evenness   = 2.0  // how strongly a server's load tells against it
+	evenLeast  = 10.0 // connections; fewer of a balancer's own say little against a group's hash
 
 	standSpan = 60 * sec // memory of the most that stood
 
@@ -180,7 +177,6 @@
 	failing         float64 // part of recent set-ups that failed
 	width           float64 // how many there may be
 	setUp           float64 // two thirds of recent set-ups were quicker
-	demand          float64 // requests a second
 	tries, goods    float64 // set-ups that ended or were not begun, and those that stood; they fade
 	retries         float64
 	counted         Micros  // when census looked last
@@ -192,7 +188,7 @@
 	b := &Balancer{set: s, rng: rand.New(rand.NewPCG(seed, 0x726f62696e6c7567)),
 		byID: map[uint32]*server{}, reqs: map[uint32]*request{}, heard: now,
 		counted: now, meanUnits: 1, present: 1, width: widthStart}
-	b.nextAsk, b.retries = now+b.jitter(b.askSpan()), max(retryMost*b.share(1), 2)
+	b.nextAsk, b.retries = b.turn(now, b.askSpan()), max(retryMost*b.share(1), 2)
 	for _, c := range s.Classes {
 		if c.MessageAim > 0 && (b.aim == 0 || c.MessageAim < b.aim) {
 			b.aim = c.MessageAim
@@ -249,6 +245,16 @@
 
 func (d Micros) seconds() float64 { return float64(d) / float64(sec) }
 
+// turn is this balancer's next moment, by its rank, in a cycle of length d that all share by the clock.
+func (b *Balancer) turn(now, d Micros) Micros {
+	n := Micros(max(b.set.Balancers, 1))
+	at := now - now%d + d*(Micros(b.set.Rank)%n)/n + b.jitter(d/n)
+	if at <= now {
+		at += d
+	}
+	return at
+}
+
 // around draws from 3/4 d to 5/4 d, so that balancers which saw one event don't act on it in step.
 func (b *Balancer) around(d Micros) Micros { return d*3/4 + b.jitter(d/2) }
 
@@ -279,8 +285,7 @@
 	}
 }
 
-// demote makes a server Unhealthy. A relapse soon after its return doubles the time to its next validation,
-// for one that errs yet accepts probes.
+// demote makes a server Unhealthy. A relapse soon after its return doubles the time to its validation.
 func (b *Balancer) demote(now Micros, s *server) {
 	if s.health == Unhealthy {
 		return
@@ -332,7 +337,7 @@
 func (b *Balancer) onUpdate(now Micros, ev Update) {
 	if ev.Kind == Failed {
 		b.asking, b.watching = false, false
-		b.nextAsk = now + askBackoff/2 + b.jitter(max(b.askSpan(), askBackoff)<<b.askFails)
+		b.nextAsk = b.turn(now+askBackoff/2, max(b.askSpan(), askBackoff)<<b.askFails)
 		b.askFails = min(b.askFails+1, askWidest/2)
 		return
 	}
@@ -384,7 +389,6 @@
 func (b *Balancer) tick(now Micros) {
 	b.timer(b.around(tickEvery), timerTick)
 	b.tries, b.goods = b.tries*throttleFade, b.goods*throttleFade
-	b.demand -= b.demand * tickEvery.seconds() / demandSpan
 	b.census(now)
 	if b.set.Ask && now >= b.nextAsk && (!b.watching || b.asking || b.refresh) {
 		b.ask(now)
@@ -461,7 +465,7 @@
 	}
 	for _, s := range b.servers {
 		if s.State == Ready && s.health == Unhealthy && now-s.entered[Unhealthy] > longUnhealthy {
-			b.refresh, b.nextAsk = true, now+b.jitter(b.askSpan())
+			b.refresh, b.nextAsk = true, b.turn(now, b.askSpan())
 			return
 		}
 	}
@@ -560,16 +564,15 @@
 		return size
 	}
 	load := float64(len(s.conns)+s.pending) + groupLoad*float64(len(s.groups))
-	appeal := size * math.Pow(1+load/size, -evenness)
+	appeal := size * math.Pow(1+load/(evenLeast*size), -evenness)
 	if s.groups[r.group] > 0 {
 		appeal *= groupBonus
 	}
 	return appeal
 }
 
-// draw is a random number from 0 to 1 that every proxy draws alike: by the group, which so comes together
-// though each proxy holds few of it, or where connections pass through by the key, so that one finds its
-// server again.
+// draw is a random number from 0 to 1 that every proxy draws alike: by the group, which so comes together, or
+// where connections pass through by the key, so that one that changes proxies finds its server again.
 func (b *Balancer) draw(r *request, s *server) float64 {
 	of := r.group
 	if b.set.Pass {
@@ -619,7 +622,6 @@
 		return
 	}
 	b.retries = min(b.retries+retryGrant, max(retryMost*b.share(1), 2))
-	b.demand += 1 / demandSpan
 	b.timer(r.due-now, timerDue|uint64(r.id))
 	b.refreshIfLong(now)
 	b.place(now, r)
@@ -928,8 +930,7 @@
 	}
 }
 
-// move ends a connection politely; its client comes again, where it can be told to the pick of now. Room is
-// paid for when it comes.
+// move ends a connection politely; its client comes again, where it can be told to the pick of now.
 func (b *Balancer) move(now Micros, r *request, stay bool) {
 	m, next := Move{ID: r.id}, r.at
 	if r.resumes && !(stay && next.State == Ready && !late(now, next)) {
@@ -961,14 +962,14 @@
 }
 
 // coldRoom tells whether a cold server's budget has room: what it takes by its size and warmth, times the
-// multiple that the rule allows, shared by all balancers of a zone. A balancer's part is mostly far under one
-// connection, so each window draws it whole or not at all; unused it lapses, or all would spend their savings
-// together.
+// multiple that the rule allows, shared by a zone's balancers. A balancer's part is mostly far under one
+// connection, so each window draws it whole or not at all; unused it lapses, or all would spend theirs at
+// once.
 func (b *Balancer) coldRoom(now Micros, s *server, warmth float64) bool {
 	if now-s.window >= b.set.TipAfter {
 		s.window = now
 		part := coldPart[b.away(s)] * coldRate * s.Units / b.meanUnits * warmth * b.set.OverloadFactor *
-			b.share(max(b.set.Zones, 1)) * b.set.TipAfter.seconds() / min(max(b.demand, leastDemand), 1)
+			b.share(max(b.set.Zones, 1)) * b.set.TipAfter.seconds()
 		s.left = min(s.left, 0) + math.Floor(part+b.rng.Float64()) // whole, or one more by chance
 	}
 	return s.left > 0
@@ -981,8 +982,7 @@
 
 // room tells whether s may be sent one more connection now. Whether one is too much shows a second or two
 // later, so a crowd is let in at a rate, each server by its size, and goes on to other zones where home has
-// had its part. A server that told of lateness gets no more than it had then until it has been in time for a
-// while.
+// had its part. A server that told of lateness gets no more than it had until it has been in time a while.
 func (b *Balancer) room(now Micros, r *request, s *server) bool {
 	size := s.Units / b.meanUnits
 	if burst := max(fillBurst*size, r.price); s.tokens < burst {
