Serve PING, LAMEDUCK and REJOIN on a management address; share the clients' port

Change: decide/duty parses calls and decides states (serving, lame duck, stopping); internal/mgmt listens on the loop, one bounded line a caller, 0.8 s for it, 32 callers at most; the relay's drain is split into moving all clients away (lame duck, taken back by REJOIN through a round number) and stopping. The clients' listener shares its port.

--- a/cmd/spurspread/serve.go
+++ b/cmd/spurspread/serve.go
@@ -17,6 +17,7 @@
 
 	"spurspread/internal/logs"
 	"spurspread/internal/loop"
+	"spurspread/internal/mgmt"
 	"spurspread/internal/relay"
 	"spurspread/internal/settings"
 	"spurspread/internal/site"
@@ -68,6 +69,15 @@
 	if err != nil {
 		return errors.Join(err, l.Close())
 	}
+	if mg := c.mgmt(s.getenv); mg != "" {
+		addr, err := netip.ParseAddrPort(mg)
+		if err != nil {
+			return errors.Join(fmt.Errorf("management address %q is not an address and port", mg), l.Close())
+		}
+		if _, err := mgmt.Listen(l, addr, r.Manage); err != nil {
+			return errors.Join(err, l.Close())
+		}
+	}
 	go func() {
 		for sig := range signals {
 			if sig == unix.SIGHUP {
@@ -82,6 +92,18 @@
 	return errors.Join(l.Run(), l.Close())
 }
 
+// mgmt is the management address as told: $GW_MGMT, else the configuration's mgmt; empty where there is none.
+func (c *serve) mgmt(getenv func(string) string) string {
+	if env := getenv("GW_MGMT"); env != "" {
+		return env
+	}
+	text, err := readSome(c.Config)
+	if err != nil {
+		return "" // read before, so this does not come
+	}
+	return gjson.GetBytes(text, "mgmt").String()
+}
+
 // reload reads all files again, outside the loop. What can't be used changes nothing.
 func (c *serve) reload(getenv func(string) string, l *loop.Loop, r *relay.Relay, log *logrus.Logger) {
 	cfg, lim, err := c.read(getenv)
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -233,13 +233,28 @@
 // Listen binds addr, also while connections of an earlier process linger on it. accept is called for each
 // connection and must adopt it, or it is closed.
 func (l *Loop) Listen(addr netip.AddrPort, accept func(adopt func(Owner) (*Conn, error))) (*Listener, error) {
+	return l.listen(addr, false, accept)
+}
+
+// ListenShared is Listen for an address that other processes of the same user may bind too while this one listens
+// (SO_REUSEPORT): the kernel spreads new connections over all of them.
+func (l *Loop) ListenShared(addr netip.AddrPort, accept func(adopt func(Owner) (*Conn, error))) (*Listener, error) {
+	return l.listen(addr, true, accept)
+}
+
+func (l *Loop) listen(addr netip.AddrPort, shared bool, accept func(adopt func(Owner) (*Conn, error))) (*Listener, error) {
 	sa, family := sockaddr(addr)
 	fd, err := l.socket(family)
 	if err != nil {
 		return nil, err
 	}
 	ln := &Listener{l: l, fd: fd, accept: accept}
-	if err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err == nil {
+	err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if err == nil && shared {
+		// A new version listens beside the old one until the old one has gone.
+		err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	}
+	if err == nil {
 		if err = unix.Bind(fd, sa); err == nil {
 			if err = unix.Listen(fd, 4096); err == nil {
 				ln.ref, err = l.add(fd, ln, unix.EPOLLIN)
--- /dev/null
+++ b/internal/mgmt/mgmt_test.go
@@ -0,0 +1,140 @@
+package mgmt_test
+
+import (
+	"bufio"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"spurspread/decide/duty"
+	"spurspread/internal/loop"
+	"spurspread/internal/mgmt"
+)
+
+// serve runs a management server on a loop of its own, with a duty that calls change, until the test ends.
+func serve(t *testing.T) string {
+	addr, _ := serveHeld(t)
+	return addr
+}
+
+// serveHeld is serve, and also tells how many callers the server holds.
+func serveHeld(t *testing.T) (string, func() int) {
+	t.Helper()
+	l, err := loop.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	state := duty.Serving
+	s, err := mgmt.Listen(l, netip.MustParseAddrPort("127.0.0.1:0"), func(c duty.Call) string {
+		a := duty.Apply(state, c)
+		state = a.Next
+		return a.Line
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error)
+	go func() { done <- l.Run() }()
+	t.Cleanup(func() {
+		l.Post(func() { s.Close(); l.Stop() })
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		_ = l.Close()
+	})
+	held := func() int {
+		n := make(chan int)
+		l.Post(func() { n <- s.Held() })
+		return <-n
+	}
+	return s.Addr().String(), held
+}
+
+// call sends what it is given, ends its side if told to, and returns the answer's line.
+func call(t *testing.T, addr, send string, end bool) string {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(30 * time.Second)) // only so that a broken server ends the test
+	if _, err := c.Write([]byte(send)); err != nil {
+		t.Fatal(err)
+	}
+	if end {
+		_ = c.(*net.TCPConn).CloseWrite()
+	}
+	answer, err := bufio.NewReader(c).ReadString('\n')
+	if err != nil {
+		return "closed: " + err.Error()
+	}
+	return strings.TrimRight(answer, "\r\n")
+}
+
+func TestCalls(t *testing.T) {
+	addr := serve(t)
+	for _, c := range []struct {
+		send string
+		end  bool
+		want string
+	}{
+		{"PING\r\n", false, "+OK serving"},
+		{"PING\n", true, "+OK serving"},
+		{"REJOIN\r\n", false, "+OK serving"},
+		{"LAMEDUCK\r\n", false, "+OK lameduck"},
+		{"PING\r\n", false, "+OK lameduck"},
+		{"LAMEDUCK\r\n", false, "+OK lameduck"},
+		{"REJOIN\r\n", false, "+OK serving"},
+		{"STATUS\r\n", false, "-ERR unknown call"},
+		{"\r\n", false, "-ERR empty call"},
+		{"PI\x00NG\r\n", false, "-ERR not text"},
+		{"\xff\xfe\n", false, "-ERR not text"},
+		{strings.Repeat("P", 200) + "\r\n", false, "-ERR line too long"},
+		{strings.Repeat("P", 200), false, "-ERR line too long"},
+		{"PIN", true, "-ERR a call without its line end"},
+		{"PIN", false, "-ERR no whole call within 0.8 s"},
+		{"", false, "-ERR no whole call within 0.8 s"},
+		{"PING\r\nPING\r\nLAMEDUCK\r\n", false, "+OK serving"}, // one call a connection
+	} {
+		if got := call(t, addr, c.send, c.end); got != c.want {
+			t.Errorf("%q (end %v): %q; want %q", c.send, c.end, got, c.want)
+		}
+	}
+}
+
+// Callers that send nothing and stay hold nobody up, however many come.
+func TestSilentCallersHoldNobodyUp(t *testing.T) {
+	addr, held := serveHeld(t)
+	var silent []net.Conn
+	for range 3 * mgmt.MaxCallers {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		silent = append(silent, c)
+	}
+	defer func() {
+		for _, c := range silent {
+			_ = c.Close()
+		}
+	}()
+	start := time.Now()
+	if got := call(t, addr, "PING\r\n", false); got != "+OK serving" {
+		t.Fatalf("PING among silent callers: %q", got)
+	}
+	if n := held(); n > mgmt.MaxCallers {
+		t.Errorf("%d callers held; at most %d", n, mgmt.MaxCallers)
+	}
+	// Each silent one is answered and closed, by the crowd or by its time; none is left holding a descriptor.
+	for i, c := range silent {
+		_ = c.SetDeadline(time.Now().Add(30 * time.Second))
+		answer, _ := bufio.NewReader(c).ReadString('\n')
+		if !strings.HasPrefix(answer, "-ERR") {
+			t.Errorf("silent caller %d: %q", i, answer)
+		}
+	}
+	t.Logf("answered in %v", time.Since(start))
+}
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"spurspread/decide/duty"
 	"spurspread/internal/logs"
 	"spurspread/internal/loop"
 	"spurspread/logic"
@@ -16,10 +17,12 @@
 	drainLook   = 20 * ms
 )
 
-// drain is the state of a planned stop.
+// drain is the state of a planned stop, or of a lame duck that may be called back.
 type drain struct {
-	on    bool
-	began loop.Micros
+	on       bool // clients are moved away and fronts are told no
+	stopping bool // once they are, the loop ends
+	began    loop.Micros
+	round    int // counts drains, so that what a drain taken back had planned does nothing
 }
 
 // longest is the longest deadline of a request, as far as a planned restart waits for it.
@@ -31,14 +34,52 @@
 	return min(d, drainMost)
 }
 
+// Duty is what the relay is there for now.
+func (r *Relay) Duty() duty.State {
+	switch {
+	case r.drain.stopping:
+		return duty.Stopping
+	case r.drain.on:
+		return duty.LameDuck
+	}
+	return duty.Serving
+}
+
+// Manage carries out a call of the management address and returns its answer, without the line end.
+func (r *Relay) Manage(c duty.Call) string {
+	a := duty.Apply(r.Duty(), c)
+	if a.Changed {
+		if a.Next == duty.LameDuck {
+			r.log.WithField(logs.Standing, r.sessions.Len()).Info("lame duck: moving all clients away")
+			r.evacuateAll()
+		} else {
+			r.drain.on = false
+			r.drain.round++
+			r.log.Info("rejoined: taking clients again")
+		}
+	}
+	return a.Line
+}
+
 // Drain stops in a planned way: what is new is shed, hops are finished or answered, every standing connection is
-// moved, and then the loop stops. The moves are spread, or all clients would come back in one moment.
+// moved, and then the loop stops. A lame duck's moves go on as they were planned.
 func (r *Relay) Drain() {
-	if r.drain.on {
+	if r.drain.stopping {
 		return
 	}
-	r.drain = drain{on: true, began: r.l.Now()}
 	r.log.WithField(logs.Standing, r.sessions.Len()).Info("draining")
+	if !r.drain.on {
+		r.evacuateAll()
+	}
+	r.drain.stopping = true
+	r.l.After(drainLook, r.drained)
+}
+
+// evacuateAll moves every standing connection, spread over the longest deadline, for all clients moved at one moment
+// would come back in one moment.
+func (r *Relay) evacuateAll() {
+	r.drain = drain{on: true, began: r.l.Now(), round: r.drain.round + 1}
+	round := r.drain.round
 	var standing []*session
 	for _, s := range r.sessions.All {
 		switch s.phase {
@@ -53,9 +94,16 @@
 	}
 	span := drainSpread * float64(r.longest())
 	for i, s := range standing {
-		r.l.After(drainFirst+loop.Micros(span*float64(i)/float64(len(standing))), func() { s.leave(logic.Cancelled, true) })
+		r.l.After(drainFirst+loop.Micros(span*float64(i)/float64(len(standing))), func() {
+			if r.drain.round == round {
+				s.leave(logic.Cancelled, true)
+			}
+		})
 	}
 	r.l.After(r.longest()+drainAnswer, func() {
+		if r.drain.round != round {
+			return
+		}
 		for _, s := range r.sessions.All {
 			if s.phase == asked {
 				s.shed(shedHold)
@@ -65,12 +113,22 @@
 			s.leave(logic.Cancelled, true)
 		}
 	})
-	r.l.After(drainLook, r.drained)
+}
+
+// shedding tells whether a new request is to be refused: all while stopping; a lame duck takes what the front sends
+// until it has heard no (and moves it soon), but no more after that.
+func (r *Relay) shedding() bool {
+	return r.drain.stopping || r.drain.on && r.l.Now()-r.drain.began > drainLeast
 }
 
 // moveSoon moves a connection that came to stand while draining, after it has had its first lines.
 func (r *Relay) moveSoon(s *session) {
-	r.l.After(drainFirst, func() { s.leave(logic.Cancelled, true) })
+	round := r.drain.round
+	r.l.After(drainFirst, func() {
+		if r.drain.on && r.drain.round == round {
+			s.leave(logic.Cancelled, true)
+		}
+	})
 }
 
 // drained stops the loop once nothing is left, or when time is up.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -99,7 +99,7 @@
 		}
 	}
 	var err error
-	if r.ingress, err = l.Listen(cfg.Listen, r.accept); err != nil {
+	if r.ingress, err = l.ListenShared(cfg.Listen, r.accept); err != nil {
 		return nil, err
 	}
 	r.tell(r.update(logic.Cached, known))
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -167,7 +167,7 @@
 		return
 	}
 	s.r.counts.taken++
-	if shed || s.r.drain.on || s.r.sessions.Len() > s.r.cfg.Settings.Logic.MostHeld {
+	if shed || s.r.shedding() || s.r.sessions.Len() > s.r.cfg.Settings.Logic.MostHeld {
 		s.shed(shedHold)
 		return
 	}
