Retune at SIGHUP: swap the settings whole, new classes for new requests

Broken files were refused already, but a deadline or most_tries of 0 passed (internal/settings, num allows 0).

Sessions keep the class names they were asked under, and a resumed request is numbered by the new settings. Settings refuse a deadline or most_tries of 0 and a class named twice; the log line of a refused file names it. Way not taken: a second module for the new settings beside the old one, which would book the same servers' room twice, each half blind.

--- a/cmd/spurspread/serve.go
+++ b/cmd/spurspread/serve.go
@@ -108,7 +108,7 @@
 func (c *serve) reload(getenv func(string) string, l *loop.Loop, r *relay.Relay, log *logrus.Logger) {
 	cfg, lim, err := c.read(getenv)
 	if err != nil {
-		log.Error("the configuration stays as it was: ", oneLine(err))
+		log.WithField(logs.File, c.Config).Error("the configuration and settings stay as they were, whole: ", oneLine(err))
 		return
 	}
 	lim.limitMemory()
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -13,6 +13,8 @@
 const (
 	Listen       = "listen"        // address where clients connect
 	Discovery    = "discovery"     // address of discovery
+	Classes      = "classes"       // names of the request classes, in order
+	File         = "file"          // a file that was read
 	Site         = "site"          // the site file's name of the installation
 	Target       = "target"        // an egress target, by its instance id
 	Standing     = "standing"      // client connections held
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"reflect"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
@@ -112,11 +113,17 @@
 // Addr is where the relay listens.
 func (r *Relay) Addr() netip.AddrPort { return r.ingress.Addr() }
 
-// Reload takes what a configuration that was read again may change under way: discovery's address and the number of
-// descriptors. Clients, new and standing, notice nothing of it.
+// Reload takes what a configuration that was read again may change under way: the settings, discovery's address and
+// the number of descriptors. Settings are swapped whole: requests from now on are asked under them, and connections
+// keep the class that they were asked under.
 func (r *Relay) Reload(cfg Config) {
-	if cfg.Listen != r.cfg.Listen || !reflect.DeepEqual(cfg.Settings, r.cfg.Settings) {
-		r.log.Warn("a change of listen or settings takes a restart")
+	if cfg.Listen != r.cfg.Listen {
+		r.log.Warn("a change of listen takes a restart")
+	}
+	if !reflect.DeepEqual(cfg.Settings, r.cfg.Settings) {
+		r.cfg.Settings = cfg.Settings
+		r.tell(logic.Retuned{Settings: cfg.Settings.Logic})
+		r.log.WithField(logs.Classes, strings.Join(cfg.Settings.Classes, ",")).Info("settings retuned")
 	}
 	r.cfg.Descriptors, r.cfg.Memory = cfg.Descriptors, cfg.Memory
 	r.limit()
--- a/internal/relay/resume.go
+++ b/internal/relay/resume.go
@@ -289,7 +289,7 @@
 	if x == nil || !x.numbers || x.next == nil || p.cfg == nil {
 		return to
 	}
-	class, server := s.r.cfg.Settings.Classes[s.class], x.next.ID
+	class, server := s.classes[s.class], x.next.ID
 	if len(class) > token.MaxName || len(server) > token.MaxName {
 		return to
 	}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -62,19 +62,20 @@
 
 // session is one request of a client's and, once it stands, its stream.
 type session struct {
-	r     *Relay
-	ref   loop.Ref // also the request's id at the module
-	in    client
-	phase phase
-	text  []byte // the first line with its end, until the target has answered it
-	first line.Open
-	named bool // its id is among those that the relay has seen
-	class int
-	due   loop.Micros // when the client gives up
-	hop   *hop
-	sends int
-	known bool // the module has heard of it
-	timer loop.Ref
+	r       *Relay
+	ref     loop.Ref // also the request's id at the module
+	in      client
+	phase   phase
+	text    []byte // the first line with its end, until the target has answered it
+	first   line.Open
+	named   bool        // its id is among those that the relay has seen
+	class   int         // in classes
+	classes []string    // the names of the classes as they were when it asked
+	due     loop.Micros // when the client gives up
+	hop     *hop
+	sends   int
+	known   bool // the module has heard of it
+	timer   loop.Ref
 
 	up, down line.Scanner // the lines to and from the target
 	waiting  []loop.Micros
@@ -162,7 +163,8 @@
 		return
 	}
 	s.named = true
-	if s.class = place(s.r.cfg.Settings.Classes, string(s.first.Class), -1); s.class < 0 {
+	s.classes = s.r.cfg.Settings.Classes
+	if s.class = place(s.classes, string(s.first.Class), -1); s.class < 0 {
 		s.fail()
 		return
 	}
@@ -192,7 +194,9 @@
 }
 
 func (s *session) request() logic.Request {
-	q := logic.Request{ID: uint32(s.ref), Left: logic.Micros(s.due - s.r.l.Now()), Class: s.class, Key: s.first.Key,
+	// Settings read again since it asked may number the classes otherwise; one that they dropped has the strictest rules.
+	class := place(s.r.cfg.Settings.Classes, s.classes[s.class], len(s.r.cfg.Settings.Classes))
+	q := logic.Request{ID: uint32(s.ref), Left: logic.Micros(s.due - s.r.l.Now()), Class: class, Key: s.first.Key,
 		Group: s.first.Group, Hint: s.first.Hint, HasHint: s.first.HasHint, Retry: s.first.Retry,
 		Returned: s.first.Returned}
 	if s.stream != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -118,8 +119,14 @@
 		TellsDelay:     s.flag("specifics.tells_delay"),
 	}
 	for i := range out.Logic.Classes {
-		out.Classes = append(out.Classes, s.pairs[fmt.Sprintf("request_classes.%d.name", i)])
+		key := fmt.Sprintf("request_classes.%d.name", i)
+		name := s.pairs[key]
+		if name != "" && slices.Contains(out.Classes, name) { // the simulator's classes go by number
+			s.bad(key, "%q is named twice", name)
+		}
+		out.Classes = append(out.Classes, name)
 	}
+	s.over0("limits.most_tries")
 	if len(s.errs) > 0 {
 		return out, fmt.Errorf("settings: %w", errors.Join(s.errs...))
 	}
@@ -180,6 +187,7 @@
 		Stream:     s.flag(at + "streaming"),
 		MessageAim: logic.Micros(s.item("specifics.message_aim", aims, i)),
 	}
+	s.over0(at + "deadline")
 	switch s.word(at+"effect", "", "read_like", "idempotency_key", "non_idempotent") {
 	case "idempotency_key":
 		c.Effect = logic.Keyed
@@ -216,6 +224,13 @@
 	return v
 }
 
+// over0 finds fault with a value that was given as 0: a request can't have no time, nor no attempt.
+func (s *settings) over0(key string) {
+	if f, err := strconv.ParseFloat(s.pairs[key], 64); err == nil && f == 0 { // below 0 is refused as a number
+		s.bad(key, "%v is not over 0", s.pairs[key])
+	}
+}
+
 func (s *settings) time(key string, required bool, otherwise logic.Micros) logic.Micros {
 	return logic.Micros(s.num(key, required, float64(otherwise)))
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -113,3 +113,28 @@
 		t.Errorf("%+v, %v", s, err)
 	}
 }
+
+// Each kind of broken file that a retune may bring is refused whole, with the key at fault named.
+func TestBrokenRetunesAreRefused(t *testing.T) {
+	good := `{"balancers":2,"rank":1,"zone":1,"dcs":["a"],"discovery":"push",
+		"limits":{"most_tries":3},"rules":{"cold":1,"cold_from":0.2,"drain_grace":1,"overload_factor":2,"tip_after":1},
+		"request_classes":[{"name":"sync","slo":300,"deadline":1000,"effect":"read_like"},
+			{"name":"watch","slo":300,"deadline":2000,"effect":"non_idempotent"}]}`
+	if _, err := ParseJSON([]byte(good)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ name, text, want string }{
+		{"empty", ``, "not a JSON object"},
+		{"cut off", good[:len(good)/2], "not a JSON object"},
+		{"short of a key", strings.Replace(good, `"deadline":1000,`, ``, 1), "request_classes.0.deadline: missing"},
+		{"deadline not over 0", strings.Replace(good, `"deadline":1000`, `"deadline":0`, 1), "request_classes.0.deadline: 0 is not over 0"},
+		{"deadline below 0", strings.Replace(good, `"deadline":1000`, `"deadline":-5`, 1), "request_classes.0.deadline:"},
+		{"attempts not over 0", strings.Replace(good, `"most_tries":3`, `"most_tries":0`, 1), "limits.most_tries: 0 is not over 0"},
+		{"an unknown effect", strings.Replace(good, `"read_like"`, `"sometimes"`, 1), "request_classes.0.effect:"},
+		{"a class named twice", strings.Replace(good, `"watch"`, `"sync"`, 1), `"sync" is named twice`},
+	} {
+		if _, err := ParseJSON([]byte(c.text)); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v; want %q", c.name, err, c.want)
+		}
+	}
+}
--- a/logic/api.go
+++ b/logic/api.go
@@ -194,6 +194,9 @@
 		Took   Micros
 		Load   Report
 	}
+	// Retuned brings settings read again, whole and checked. Requests from then on are decided by them, with the
+	// classes numbered as they number them; what was asked before keeps the class it was asked under.
+	Retuned struct{ Settings Settings }
 )
 
 // NoteKind says what a Note's value is.
@@ -215,6 +218,7 @@
 func (Withdrawn) isEvent()   {}
 func (Timer) isEvent()       {}
 func (Probed) isEvent()      {}
+func (Retuned) isEvent()     {}
 
 // Action is something the balancer wants done.
 type Action interface{ isAction() }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -172,7 +172,6 @@
 	present   float64 // the part of that which is there now
 	owed      float64 // connections that servers ended, and that may come back
 	meanUnits float64 // size of a ready server
-	aim       Micros  // the shortest message aim; 0 where none is stated
 
 	failing         float64 // part of recent set-ups that failed
 	width           float64 // how many there may be
@@ -189,12 +188,17 @@
 		byID: map[uint32]*server{}, reqs: map[uint32]*request{}, heard: now,
 		counted: now, meanUnits: 1, present: 1, width: widthStart}
 	b.nextAsk, b.retries = b.turn(now, b.askSpan()), max(retryMost*b.share(1), 2)
-	for _, c := range s.Classes {
-		if c.MessageAim > 0 && (b.aim == 0 || c.MessageAim < b.aim) {
-			b.aim = c.MessageAim
+	return b
+}
+
+// aim is the shortest message aim of the classes; 0 where none is stated.
+func (b *Balancer) aim() (aim Micros) {
+	for _, c := range b.set.Classes {
+		if c.MessageAim > 0 && (aim == 0 || c.MessageAim < aim) {
+			aim = c.MessageAim
 		}
 	}
-	return b
+	return aim
 }
 
 // Timer tokens: the kind in the upper half, a request in the lower.
@@ -232,6 +236,8 @@
 		b.onTimer(now, ev)
 	case Probed:
 		b.onProbed(now, ev)
+	case Retuned:
+		b.set = ev.Settings
 	}
 	out, b.out = b.out, nil
 	return out
@@ -861,19 +867,16 @@
 
 func (b *Balancer) onNote(now Micros, ev Note) {
 	s := b.byID[ev.Server]
-	if s == nil || ev.Kind != DelayNote || b.aim == 0 {
-		return
-	}
-	if now-s.delayAt < noteLeast {
-		return // the same news on another connection
+	if s == nil || ev.Kind != DelayNote || b.aim() == 0 || now-s.delayAt < noteLeast {
+		return // nothing to learn, or the same news on another connection
 	}
 	// By how much what waits there grew in a second tells how much more it is sent than it can do.
 	was, span := slowAt, sec
 	if now-s.delayAt <= noteFresh {
 		was, span = s.delay, now-s.delayAt
 	}
-	s.delay, s.delayAt = ev.Value*float64(ms)/float64(b.aim), now
-	s.rise = (s.delay - was) * float64(b.aim) / float64(span)
+	s.delay, s.delayAt = ev.Value*float64(ms)/float64(b.aim()), now
+	s.rise = (s.delay - was) * float64(b.aim()) / float64(span)
 	switch n := float64(len(s.conns) + s.pending); {
 	case s.delay > slowAt:
 		for _, o := range b.servers {
@@ -895,14 +898,14 @@
 // rest so much that what waits is done within easeSpan. All proxies hear one note and move one part, however
 // many they are. Nothing is moved without a place to go, unless so late that staying is worth nothing.
 func (b *Balancer) relieve(now Micros, s *server) {
-	part := (s.rise + s.delay*float64(b.aim)/float64(easeSpan)) / (1 + max(s.rise, 0))
+	part := (s.rise + s.delay*float64(b.aim())/float64(easeSpan)) / (1 + max(s.rise, 0))
 	free, most := b.free(now), moveMost*b.present*b.present
 	for i := len(s.conns) - 1; i >= 0; i-- {
 		r := s.conns[i]
 		if r.class.MessageAim <= 0 || b.setUp >= moveSetUp*float64(r.class.Aim) {
 			continue
 		}
-		over := s.delay * float64(b.aim) / float64(r.class.MessageAim)
+		over := s.delay * float64(b.aim()) / float64(r.class.MessageAim)
 		if over > moveAt && (free >= 1 || over > shedAt) && b.rng.Float64() < min(part, most) {
 			b.move(now, r, false)
 			free--
@@ -961,10 +964,9 @@
 	b.present = units / max(b.unitsMost, 1)
 }
 
-// coldRoom tells whether a cold server's budget has room: what it takes by its size and warmth, times the
-// multiple that the rule allows, shared by a zone's balancers. A balancer's part is mostly far under one
-// connection, so each window draws it whole or not at all; unused it lapses, or all would spend theirs at
-// once.
+// coldRoom tells whether a cold server's budget has room: what it takes by its size and warmth, times the multiple that
+// the rule allows, shared by a zone's balancers. A balancer's part is mostly far under one connection, so each window
+// draws it whole or not at all; unused it lapses, or all would spend theirs at once.
 func (b *Balancer) coldRoom(now Micros, s *server, warmth float64) bool {
 	if now-s.window >= b.set.TipAfter {
 		s.window = now
