Test lame duck on sockets: 200 standing clients all moved, the process stays, REJOIN

A drain taken back at once moves nobody; SIGTERM after it moves all and stops. With the round check in evacuateAll taken out, the second test fails: the client is moved after REJOIN.

--- /dev/null
+++ b/internal/relay/lameduck_test.go
@@ -0,0 +1,104 @@
+package relay
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"spurspread/decide/duty"
+)
+
+// manage makes a call of the management address on the loop and returns its answer.
+func (g *rig) manage(c duty.Call) (answer string) {
+	g.inLoop(func() { answer = g.r.Manage(c) })
+	return answer
+}
+
+// pinged is what a front hears at the ingress.
+func (g *rig) pinged() string {
+	g.t.Helper()
+	p := g.client("PING\r\n")
+	defer func() { _ = p.Close() }()
+	return p.line()
+}
+
+// A lame duck moves every standing client, tells the front no, stays, and takes clients again at REJOIN.
+func TestLameDuckMovesAllAndStays(t *testing.T) {
+	const standing = 200
+	g := newRig(t, 1, to, nil)
+	var clients []*peer
+	for i := range standing {
+		c := g.client(fmt.Sprintf("OPEN %04x 7f3a c=sync,d=60000\r\n", 0x1000+i))
+		target := g.hop(0)
+		target.line()
+		target.say("UP r1\r\n")
+		c.want("UP r1\r\n")
+		clients = append(clients, c)
+	}
+	if got := g.manage(duty.LameDuckCall); got != "+OK lameduck" {
+		t.Fatalf("LAMEDUCK: %q", got)
+	}
+	if got := g.pinged(); got != "ERR\r\n" {
+		t.Errorf("a front's PING during the drain: %q", got)
+	}
+	if got := g.manage(duty.LameDuckCall); got != "+OK lameduck" {
+		t.Errorf("LAMEDUCK twice: %q", got)
+	}
+	began := time.Now()
+	for i, c := range clients {
+		if got := c.line(); got != "MOVE\r\n" {
+			t.Fatalf("client %d: %q", i, got)
+		}
+		c.ended(true)
+	}
+	t.Logf("%d moved in %v", standing, time.Since(began))
+	select {
+	case err := <-g.stopped:
+		g.stopped <- err
+		t.Fatalf("a lame duck stopped: %v", err)
+	default:
+	}
+	if got := g.manage(duty.Rejoin); got != "+OK serving" {
+		t.Errorf("REJOIN: %q", got)
+	}
+	if got := g.pinged(); got != "PONG\r\n" {
+		t.Errorf("a front's PING after REJOIN: %q", got)
+	}
+	c, _ := g.stand() // served, and not moved
+	c.say("\r\n")
+	if g.Duty() != duty.Serving {
+		t.Errorf("duty %v", g.Duty())
+	}
+}
+
+// A drain that is taken back at once moves nobody; SIGTERM after it still moves all and stops.
+func TestRejoinTakesTheMovesBack(t *testing.T) {
+	g := newRig(t, 1, to, nil)
+	client, target := g.stand()
+	g.inLoop(func() {
+		g.r.Manage(duty.LameDuckCall)
+		g.r.Manage(duty.Rejoin)
+	})
+	time.Sleep(3500 * time.Millisecond) // past all that the drain had planned
+	target.say("LINE 1\r\n")
+	if got := client.line(); got != "LINE 1\r\n" {
+		t.Fatalf("after a drain taken back: %q", got)
+	}
+	g.l.Post(g.r.Drain)
+	client.want("MOVE\r\n")
+	if got := g.manage(duty.Rejoin); !strings.HasPrefix(got, "-ERR") {
+		t.Errorf("REJOIN while stopping: %q", got)
+	}
+	client.ended(true)
+	_ = client.Close()
+	err := <-g.stopped
+	g.stopped <- err
+	g.check(err)
+}
+
+// Duty is read on the loop.
+func (g *rig) Duty() (d duty.State) {
+	g.inLoop(func() { d = g.r.Duty() })
+	return d
+}
