Hand over to a new version: a note under TMPDIR, the old listener shut at SIGTERM

Need: with SO_REUSEPORT the kernel gives the old process about half of what is new until its listener closes, and the old process shed all of that for 0.6 s after SIGTERM, then reset what its queue held when it ended.

Change: internal/handover writes and reads a versioned note (v1, renamed into place, 4 KiB, strict JSON) of the process that serves on the clients' address. At SIGTERM a process that finds a live successor in it hands over: loop.Listener Shut takes in the whole accept queue and then closes, what was taken in is served and moved soon after, as a lame duck's. Without a note the planned stop is as before; a process removes its own note at its end.

--- a/cmd/spurspread/serve.go
+++ b/cmd/spurspread/serve.go
@@ -10,11 +10,13 @@
 	"runtime"
 	"runtime/debug"
 	"strconv"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/tidwall/gjson"
 	"golang.org/x/sys/unix"
 
+	"spurspread/internal/handover"
 	"spurspread/internal/logs"
 	"spurspread/internal/loop"
 	"spurspread/internal/mgmt"
@@ -78,18 +80,29 @@
 			return errors.Join(err, l.Close())
 		}
 	}
+	note := handover.Path(os.TempDir(), cfg.Listen)
 	go func() {
 		for sig := range signals {
 			if sig == unix.SIGHUP {
 				c.reload(s.getenv, l, r, log)
+			} else if succeeded(note, cfg.Listen) {
+				l.Post(r.HandOver)
 			} else {
 				l.Post(r.Drain)
 			}
 		}
 	}()
+	// Only a successor reads it, and none needs it: what can't be written is told and changes nothing else.
+	if err := handover.Write(note, handover.Note{PID: os.Getpid(), Listen: cfg.Listen.String(), Since: time.Now().UnixMilli()}); err != nil {
+		log.WithError(err).Warn("no hand-over note")
+	}
 	log.WithField(logs.Listen, r.Addr()).Info("started")
 	releasePages()
-	return errors.Join(l.Run(), l.Close())
+	err = errors.Join(l.Run(), l.Close())
+	if n, e := handover.Read(note); e == nil && n.PID == os.Getpid() {
+		_ = os.Remove(note) // nobody is to take it for a successor
+	}
+	return err
 }
 
 // mgmt is the management address as told: $GW_MGMT, else the configuration's mgmt; empty where there is none.
@@ -104,6 +117,15 @@
 	return gjson.GetBytes(text, "mgmt").String()
 }
 
+// succeeded tells whether another process serves on the same clients' address, by its hand-over note.
+func succeeded(path string, listen netip.AddrPort) bool {
+	n, err := handover.Read(path)
+	return err == nil && handover.Succeeded(n, os.Getpid(), listen, func(pid int) bool {
+		err := unix.Kill(pid, 0)
+		return err == nil || errors.Is(err, unix.EPERM)
+	})
+}
+
 // reload reads all files again, outside the loop. What can't be used changes nothing.
 func (c *serve) reload(getenv func(string) string, l *loop.Loop, r *relay.Relay, log *logrus.Logger) {
 	cfg, lim, err := c.read(getenv)
--- /dev/null
+++ b/internal/handover/handover.go
@@ -0,0 +1,93 @@
+// Package handover passes word between two versions of a balancer on the same clients' address, through a small
+// versioned file under $TMPDIR: the newer one writes that it serves; the older one reads it at SIGTERM, to know that
+// its listener may close without shutting anybody out. It knows files and their form, and nothing of sockets or of the
+// loop. No process needs the file to start: one that is missing, broken or of another version says nothing.
+package handover
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+// Version is the form of the file; another one is not read.
+const Version = 1
+
+// maxNote bounds the file, in bytes.
+const maxNote = 4 << 10
+
+// Note is what the file holds.
+type Note struct {
+	Version int    `json:"version"`
+	PID     int    `json:"pid"`    // of the process that serves
+	Listen  string `json:"listen"` // the clients' address that it listens on
+	Since   int64  `json:"since"`  // when it began to serve, Unix milliseconds
+}
+
+// Path is the file for the clients' address in dir; the address is in its name, so that balancers of several
+// addresses on one machine keep apart.
+func Path(dir string, listen netip.AddrPort) string {
+	name := strings.NewReplacer(":", "_", "[", "", "]", "").Replace(listen.String())
+	return filepath.Join(dir, fmt.Sprintf("spurspread-%s.v%d.json", name, Version))
+}
+
+// Write puts the note in place whole: it is written beside the file and renamed over it, so a reader sees the old
+// note or the new one, never part of one.
+func Write(path string, n Note) error {
+	n.Version = Version
+	text, err := json.Marshal(n)
+	if err != nil {
+		return err
+	}
+	f, err := os.CreateTemp(filepath.Dir(path), ".spurspread-handover-*")
+	if err != nil {
+		return fmt.Errorf("hand-over: %w", err)
+	}
+	_, err = f.Write(text)
+	if err = errors.Join(err, f.Close()); err == nil {
+		err = os.Rename(f.Name(), path)
+	}
+	if err != nil {
+		_ = os.Remove(f.Name())
+		return fmt.Errorf("hand-over: %w", err)
+	}
+	return nil
+}
+
+// Read reads a note strictly: of this version, with no field unknown, and bounded in size.
+func Read(path string) (Note, error) {
+	var n Note
+	f, err := os.Open(path)
+	if err != nil {
+		return n, err
+	}
+	defer func() { _ = f.Close() }()
+	text, err := io.ReadAll(io.LimitReader(f, maxNote+1))
+	if err != nil {
+		return n, err
+	}
+	if len(text) > maxNote {
+		return n, fmt.Errorf("hand-over: %s has over %d bytes", path, maxNote)
+	}
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&n); err != nil {
+		return n, fmt.Errorf("hand-over: %s: %w", path, err)
+	}
+	if n.Version != Version {
+		return n, fmt.Errorf("hand-over: %s is of version %d, not %d", path, n.Version, Version)
+	}
+	return n, nil
+}
+
+// Succeeded tells whether the note names another process, still alive, that serves on the same address: then this one
+// may stop listening at once, for the kernel gives new connections to that one.
+func Succeeded(n Note, self int, listen netip.AddrPort, alive func(pid int) bool) bool {
+	return n.Version == Version && n.PID > 0 && n.PID != self && n.Listen == listen.String() && alive(n.PID)
+}
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -227,6 +227,9 @@
 	stopped bool
 }
 
+// backlog is the most connections that the kernel queues for a listener.
+const backlog = 4096
+
 // acceptPause is how long a listener that found no free descriptor leaves the queue alone.
 const acceptPause = 20_000
 
@@ -256,7 +259,7 @@
 	}
 	if err == nil {
 		if err = unix.Bind(fd, sa); err == nil {
-			if err = unix.Listen(fd, 4096); err == nil {
+			if err = unix.Listen(fd, backlog); err == nil {
 				ln.ref, err = l.add(fd, ln, unix.EPOLLIN)
 			}
 		}
@@ -283,17 +286,21 @@
 	return netip.AddrPort{}
 }
 
-func (ln *Listener) ready(uint32) {
-	for range 64 {
+func (ln *Listener) ready(uint32) { ln.acceptSome(64) }
+
+// acceptSome accepts up to n connections and tells whether the queue is empty now, or can't be emptied for want of
+// descriptors.
+func (ln *Listener) acceptSome(n int) (empty bool) {
+	for range n {
 		fd, _, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch {
 		case err == nil:
 		case errors.Is(err, unix.EAGAIN):
-			return
+			return true
 		case Exhausted(err):
 			// The queue stays readable: without a pause the loop would spin until a descriptor is free.
 			ln.pause()
-			return
+			return true
 		default:
 			continue // that client has gone again
 		}
@@ -306,6 +313,15 @@
 			_ = unix.Close(fd)
 		}
 	}
+	return false
+}
+
+// Shut takes in all that waits in the queue and then stops listening: a listener that is closed resets what it had
+// queued, and while another process listens on the same port nothing more comes here.
+func (ln *Listener) Shut() {
+	for !ln.acceptSome(backlog) {
+	}
+	ln.Close()
 }
 
 func (ln *Listener) pause() {
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -21,6 +21,7 @@
 type drain struct {
 	on       bool // clients are moved away and fronts are told no
 	stopping bool // once they are, the loop ends
+	handing  bool // another process listens on the same port and takes what is new
 	began    loop.Micros
 	round    int // counts drains, so that what a drain taken back had planned does nothing
 }
@@ -75,6 +76,19 @@
 	r.l.After(drainLook, r.drained)
 }
 
+// HandOver stops as Drain does, for a successor that listens on the same port: what waits in the accept queue is
+// taken in, the listener closes, so that the kernel gives all that is new to the successor, and what was taken in is
+// served and moved soon after it stands, as a lame duck's is, rather than shed.
+func (r *Relay) HandOver() {
+	if r.drain.stopping {
+		return
+	}
+	r.Drain()
+	r.drain.handing = true
+	r.ingress.Shut()
+	r.log.Info("handed over: the successor takes new clients")
+}
+
 // evacuateAll moves every standing connection, spread over the longest deadline, for all clients moved at one moment
 // would come back in one moment.
 func (r *Relay) evacuateAll() {
@@ -115,10 +129,10 @@
 	})
 }
 
-// shedding tells whether a new request is to be refused: all while stopping; a lame duck takes what the front sends
-// until it has heard no (and moves it soon), but no more after that.
+// shedding tells whether a new request is to be refused: all while stopping, unless handed over; a lame duck, and one
+// that handed over, take what still comes for a moment (and move it soon), but no more after that.
 func (r *Relay) shedding() bool {
-	return r.drain.stopping || r.drain.on && r.l.Now()-r.drain.began > drainLeast
+	return r.drain.stopping && !r.drain.handing || r.drain.on && r.l.Now()-r.drain.began > drainLeast
 }
 
 // moveSoon moves a connection that came to stand while draining, after it has had its first lines.
--- a/internal/relay/lameduck_test.go
+++ b/internal/relay/lameduck_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -102,3 +103,21 @@
 	g.inLoop(func() { d = g.r.Duty() })
 	return d
 }
+
+// Handed over, a balancer closes its listener at once, moves what stands and stops; nothing new is shed by it.
+func TestHandOverClosesTheListener(t *testing.T) {
+	g := newRig(t, 1, to, nil)
+	client, _ := g.stand()
+	addr := g.r.Addr().String()
+	g.l.Post(g.r.HandOver)
+	client.want("MOVE\r\n")
+	if c, err := net.Dial("tcp", addr); err == nil {
+		_ = c.Close()
+		t.Errorf("still listening after the hand-over")
+	}
+	client.ended(true)
+	_ = client.Close()
+	err := <-g.stopped
+	g.stopped <- err
+	g.check(err)
+}
