--- a/cmd/spurspread/main_test.go
+++ b/cmd/spurspread/main_test.go
@@ -38,6 +38,16 @@
 	return func(name string) string { return map[string]string{"GW_CONFIG": path}[name] }
 }
 
+// withMgmt adds $GW_MGMT to what getenv tells.
+func withMgmt(getenv func(string) string, addr string) func(string) string {
+	return func(name string) string {
+		if name == "GW_MGMT" {
+			return addr
+		}
+		return getenv(name)
+	}
+}
+
 // What is wrong with a configuration is said in one line.
 func TestBadConfiguration(t *testing.T) {
 	for want, getenv := range map[string]func(string) string{
@@ -52,6 +62,8 @@
 		"rules.cold: missing":                             env(t, `"cold": 23000000`, `"warm": 1`),
 		"known: discovery's list is":                      env(t, `"generation": 1`, `"generation": "x"`),
 		"listen on 192.0.2.1:8081":                        env(t, "127.0.0.1:8081", "192.0.2.1:8081"),
+		"management address: listen on 192.0.2.1:9901":    withMgmt(env(t, "127.0.0.1:8081", "127.0.0.1:0"), "192.0.2.1:9901"),
+		`management address "9901" is not an address`:     withMgmt(env(t, "127.0.0.1:8081", "127.0.0.1:0"), "9901"),
 	} {
 		var out, said bytes.Buffer
 		code := run([]string{"serve", "--config=" + getenv("GW_CONFIG")}, &streams{getenv: getenv, out: &out, err: &said})
