--- a/cmd/spurspread/serve.go
+++ b/cmd/spurspread/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -40,11 +41,12 @@
   GW_CONFIG=example/config.json spurspread serve --site example/site.xml`
 }
 
-// limits are what the machine gives the process; 0 where it does not say.
+// limits are what the machine gives the process, 0 where it does not say, and where the process is managed.
 type limits struct {
 	cores    float64
 	memoryMB int64
 	sockets  int
+	mgmt     netip.AddrPort // the management address; none where it is not told
 }
 
 // Run serves until it is told to stop.
@@ -71,12 +73,8 @@
 	if err != nil {
 		return errors.Join(err, l.Close())
 	}
-	if mg := c.mgmt(s.getenv); mg != "" {
-		addr, err := netip.ParseAddrPort(mg)
-		if err != nil {
-			return errors.Join(fmt.Errorf("management address %q is not an address and port", mg), l.Close())
-		}
-		if _, err := mgmt.Listen(l, addr, r.Manage); err != nil {
+	if lim.mgmt.IsValid() {
+		if _, err := mgmt.Listen(l, lim.mgmt, r.Manage); err != nil {
 			return errors.Join(err, l.Close())
 		}
 	}
@@ -105,18 +103,6 @@
 	return err
 }
 
-// mgmt is the management address as told: $GW_MGMT, else the configuration's mgmt; empty where there is none.
-func (c *serve) mgmt(getenv func(string) string) string {
-	if env := getenv("GW_MGMT"); env != "" {
-		return env
-	}
-	text, err := readSome(c.Config)
-	if err != nil {
-		return "" // read before, so this does not come
-	}
-	return gjson.GetBytes(text, "mgmt").String()
-}
-
 // succeeded tells whether another process serves on the same clients' address, by its hand-over note.
 func succeeded(path string, listen netip.AddrPort) bool {
 	n, err := handover.Read(path)
@@ -189,7 +175,14 @@
 		}
 	}
 	cfg.Known = []byte(root.Get("known").Raw)
-	lim := limits{root.Get("limits.cores").Float(), root.Get("limits.memory_mb").Int(), int(root.Get("limits.sockets").Int())}
+	lim := limits{cores: root.Get("limits.cores").Float(), memoryMB: root.Get("limits.memory_mb").Int(),
+		sockets: int(root.Get("limits.sockets").Int())}
+	// $GW_MGMT comes before the file's, so that a new version beside the old one takes its own.
+	if mg := cmp.Or(getenv("GW_MGMT"), root.Get("mgmt").String()); mg != "" {
+		if lim.mgmt, err = netip.ParseAddrPort(mg); err != nil {
+			return cfg, limits{}, fmt.Errorf("management address %q is not an address and port", mg)
+		}
+	}
 	cfg.Descriptors, cfg.Memory = lim.sockets, lim.memoryMB<<20
 	return cfg, lim, nil
 }
