--- a/logic/logic.go
+++ b/logic/logic.go
@@ -964,9 +964,9 @@
 	b.present = units / max(b.unitsMost, 1)
 }
 
-// coldRoom tells whether a cold server's budget has room: what it takes by its size and warmth, times the multiple that
-// the rule allows, shared by a zone's balancers. A balancer's part is mostly far under one connection, so each window
-// draws it whole or not at all; unused it lapses, or all would spend theirs at once.
+// coldRoom tells whether a cold server's budget has room: what it takes by size and warmth, times the rule's
+// multiple, shared by a zone's balancers. One balancer's part is mostly far under one connection, so a
+// window draws it whole or not at all; unused it lapses, or all would spend theirs at once.
 func (b *Balancer) coldRoom(now Micros, s *server, warmth float64) bool {
 	if now-s.window >= b.set.TipAfter {
 		s.window = now
