Pass standing connections to the new version by descriptor instead of moving them

Ruled out: late readiness (0.03 s), turned-back connections (0), the rate of moves (bounded by SIGKILL). At fault: relay.HandOver, which moved all that stood as any drain does.

Change: at SIGTERM with a live successor the old process offers each standing connection, both sockets and its state, over a Unix packet socket beside the note; the successor says yes before it reads a byte, and in one system call, so one process has it at any time. What can't pass, is refused or has no answer is moved as before; without a successor all are moved.

--- a/cmd/spurspread/serve.go
+++ b/cmd/spurspread/serve.go
@@ -78,19 +78,23 @@
 			return errors.Join(err, l.Close())
 		}
 	}
-	note := handover.Path(os.TempDir(), cfg.Listen)
+	note, taking := handover.Path(os.TempDir(), cfg.Listen), handover.SocketPath(os.TempDir(), cfg.Listen)
 	go func() {
 		for sig := range signals {
 			if sig == unix.SIGHUP {
 				c.reload(s.getenv, l, r, log)
-			} else if succeeded(note, cfg.Listen) {
-				l.Post(r.HandOver)
+			} else if pid := successor(note, cfg.Listen); pid != 0 {
+				l.Post(func() { r.HandOver(taking, pid) })
 			} else {
 				l.Post(r.Drain)
 			}
 		}
 	}()
-	// Only a successor reads it, and none needs it: what can't be written is told and changes nothing else.
+	// Nobody needs either of these: what can't be made is told and changes nothing else. The socket comes first, since
+	// whoever reads the note may come to it.
+	if err := r.TakeOver(taking); err != nil {
+		log.WithError(err).Warn("takes no standing connections from an older process")
+	}
 	if err := handover.Write(note, handover.Note{PID: os.Getpid(), Listen: cfg.Listen.String(), Since: time.Now().UnixMilli()}); err != nil {
 		log.WithError(err).Warn("no hand-over note")
 	}
@@ -99,17 +103,21 @@
 	err = errors.Join(l.Run(), l.Close())
 	if n, e := handover.Read(note); e == nil && n.PID == os.Getpid() {
 		_ = os.Remove(note) // nobody is to take it for a successor
+		_ = os.Remove(taking)
 	}
 	return err
 }
 
-// succeeded tells whether another process serves on the same clients' address, by its hand-over note.
-func succeeded(path string, listen netip.AddrPort) bool {
+// successor is the other process that serves on the same clients' address, by its hand-over note; 0 where there is none.
+func successor(path string, listen netip.AddrPort) int {
 	n, err := handover.Read(path)
-	return err == nil && handover.Succeeded(n, os.Getpid(), listen, func(pid int) bool {
+	if err != nil || !handover.Succeeded(n, os.Getpid(), listen, func(pid int) bool {
 		err := unix.Kill(pid, 0)
 		return err == nil || errors.Is(err, unix.EPERM)
-	})
+	}) {
+		return 0
+	}
+	return n.PID
 }
 
 // reload reads all files again, outside the loop. What can't be used changes nothing.
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -37,6 +37,8 @@
 	Promised     = "promised"      // bytes that peers may send on channels without asking, and what is kept of theirs
 	Kept         = "kept"          // bytes that wait for clients and targets to take them
 	TrunksFailed = "trunks_failed" // trunks that broke or could not be opened, since the start
+	Passed       = "passed"        // standing connections given to the successor
+	Adopted      = "adopted"       // standing connections taken over from an older process, since the start
 	Echoes       = "echoes"        // outcomes that had the cause of another, and were no evidence, since the start
 	Count        = "count"         // how many of what the message speaks of
 	Reason       = "reason"        // why, as one word
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -23,7 +23,8 @@
 	stopping bool // once they are, the loop ends
 	handing  bool // another process listens on the same port and takes what is new
 	began    loop.Micros
-	round    int // counts drains, so that what a drain taken back had planned does nothing
+	round    int     // counts drains, so that what a drain taken back had planned does nothing
+	passer   *passer // to a successor that takes standing connections
 }
 
 // longest is the longest deadline of a request, as far as a planned restart waits for it.
@@ -79,34 +80,55 @@
 // HandOver stops as Drain does, for a successor that listens on the same port: what waits in the accept queue is
 // taken in, the listener closes, so that the kernel gives all that is new to the successor, and what was taken in is
 // served and moved soon after it stands, as a lame duck's is, rather than shed.
-func (r *Relay) HandOver() {
+// What stands passes to the successor, which is process pid and listens at the path; what can't pass is moved.
+func (r *Relay) HandOver(path string, pid int) {
 	if r.drain.stopping {
 		return
 	}
-	r.Drain()
-	r.drain.handing = true
+	r.log.WithField(logs.Standing, r.sessions.Len()).Info("draining")
+	lame := r.drain.on
+	if !lame {
+		r.startDrain()
+	}
+	r.drain.stopping, r.drain.handing = true, true
 	r.ingress.Shut()
 	r.log.Info("handed over: the successor takes new clients")
+	if !lame {
+		r.pass(path, pid)
+	}
+	r.l.After(drainLook, r.drained)
 }
 
 // evacuateAll moves every standing connection, spread over the longest deadline, for all clients moved at one moment
 // would come back in one moment.
 func (r *Relay) evacuateAll() {
+	r.startDrain()
+	r.moveStanding()
+}
+
+// startDrain has fronts told no; connections that were to resume are shed.
+func (r *Relay) startDrain() {
 	r.drain = drain{on: true, began: r.l.Now(), round: r.drain.round + 1}
-	round := r.drain.round
+	for _, s := range r.sessions.All {
+		if s.phase == resuming {
+			s.shed(shedHold)
+		}
+	}
+}
+
+// moveStanding moves what stands over what is left of the longest deadline since the drain began.
+func (r *Relay) moveStanding() {
+	round, spent := r.drain.round, r.l.Now()-r.drain.began
 	var standing []*session
 	for _, s := range r.sessions.All {
-		switch s.phase {
-		case open:
+		if s.phase == open {
 			standing = append(standing, s)
-		case resuming:
-			s.shed(shedHold)
 		}
 	}
 	for m := range r.muxes {
 		r.l.After(0, m.goodbye)
 	}
-	span := drainSpread * float64(r.longest())
+	span := drainSpread * float64(max(r.longest()-spent, 0))
 	for i, s := range standing {
 		r.l.After(drainFirst+loop.Micros(span*float64(i)/float64(len(standing))), func() {
 			if r.drain.round == round {
@@ -114,7 +136,7 @@
 			}
 		})
 	}
-	r.l.After(r.longest()+drainAnswer, func() {
+	r.l.After(r.longest()+drainAnswer-spent, func() {
 		if r.drain.round != round {
 			return
 		}
@@ -139,7 +161,10 @@
 func (r *Relay) moveSoon(s *session) {
 	round := r.drain.round
 	r.l.After(drainFirst, func() {
-		if r.drain.on && r.drain.round == round {
+		if !r.drain.on || r.drain.round != round {
+			return
+		}
+		if p := r.drain.passer; p == nil || s.phase != passing && !p.offer(s) {
 			s.leave(logic.Cancelled, true)
 		}
 	})
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -115,7 +115,7 @@
 // read reads what the target sends.
 func (h *hop) read() {
 	for range fairRounds {
-		if h.over || !h.connected {
+		if h.over || !h.connected || h.s.phase == passing {
 			return
 		}
 		if h.s.in.Pending() > h.r.maxPending {
--- a/internal/relay/lameduck_test.go
+++ b/internal/relay/lameduck_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -109,7 +110,7 @@
 	g := newRig(t, 1, to, nil)
 	client, _ := g.stand()
 	addr := g.r.Addr().String()
-	g.l.Post(g.r.HandOver)
+	g.handOver(filepath.Join(t.TempDir(), "none"), 1)
 	client.want("MOVE\r\n")
 	if c, err := net.Dial("tcp", addr); err == nil {
 		_ = c.Close()
--- /dev/null
+++ b/internal/relay/pass_test.go
@@ -0,0 +1,331 @@
+package relay
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+
+	"golang.org/x/sys/unix"
+
+	"spurspread/decide/duty"
+	"spurspread/internal/handover"
+	"spurspread/internal/loop"
+	"spurspread/logic"
+)
+
+// successor is a second relay with the same list of servers, which takes standing connections at the path.
+func (g *rig) successor() (next *rig, path string) {
+	g.t.Helper()
+	next = newRig(g.t, 0, to, func(cfg *Config) { cfg.Known = g.known })
+	path = filepath.Join(g.t.TempDir(), "taking.sock")
+	next.inLoop(func() { g.check(next.r.TakeOver(path)) })
+	return next, path
+}
+
+// handOver has the relay end for process pid's sake.
+func (g *rig) handOver(path string, pid int) { g.l.Post(func() { g.r.HandOver(path, pid) }) }
+
+// stands brings up a connection with an id of its own.
+func (g *rig) stands(id int) (client, target *peer) {
+	g.t.Helper()
+	client = g.client(fmt.Sprintf("OPEN %04x 7f3a c=sync,d=60000,g=5c\r\n", id))
+	target = g.hop(0)
+	target.line()
+	target.say("UP r1\r\n")
+	client.want("UP r1\r\n")
+	return client, target
+}
+
+func (g *rig) stops() {
+	g.t.Helper()
+	err := <-g.stopped
+	g.stopped <- err
+	g.check(err)
+}
+
+// Streams that run while a new version takes over go on as if nothing were: every line arrives once and in order, both
+// ways, nobody is moved, and each Send has brought one Outcome.
+func TestStreamsPassToTheSuccessor(t *testing.T) {
+	const streams, lines = 60, 400
+	g := newRig(t, 1, to, nil)
+	next, path := g.successor()
+	var pairs [][2]*peer
+	for i := range streams {
+		client, target := g.stands(0x1000 + i)
+		pairs = append(pairs, [2]*peer{client, target})
+	}
+	for range streams {
+		event[logic.Established](g)
+	}
+	var all, halfway sync.WaitGroup
+	for _, p := range pairs {
+		for way := range 2 {
+			from, to := p[way], p[1-way]
+			all.Go(func() {
+				for i := range lines {
+					// In pieces, so that some stand in the middle of a line when they are looked at.
+					if text := fmt.Sprintf("line %d\r\n", i); i%3 == 0 {
+						_, _ = from.Write([]byte(text[:4]))
+						_, _ = from.Write([]byte(text[4:]))
+					} else {
+						_, _ = from.Write([]byte(text))
+					}
+				}
+			})
+			halfway.Add(1)
+			all.Go(func() {
+				for i := range lines {
+					if i == lines/4 {
+						halfway.Done()
+					}
+					if got, err := to.rd.ReadString('\n'); got != fmt.Sprintf("line %d\r\n", i) {
+						t.Errorf("line %d came as %q, %v", i, got, err)
+						if i < lines/4 {
+							halfway.Done()
+						}
+						return
+					}
+				}
+			})
+		}
+	}
+	halfway.Wait()
+	g.handOver(path, os.Getpid())
+	all.Wait()
+	g.stops()
+	outcomes := map[uint32]int{}
+	for len(g.events) > 0 {
+		if o, ok := (<-g.events).(logic.Outcome); ok {
+			outcomes[o.ID]++
+			if o.Status != logic.Cancelled || !o.Closed {
+				t.Errorf("%+v", o)
+			}
+		}
+	}
+	if len(outcomes) != streams || g.r.counts.passed != streams || g.r.counts.moved != 0 {
+		t.Errorf("%d outcomes, %d passed, %d moved", len(outcomes), g.r.counts.passed, g.r.counts.moved)
+	}
+	opened := map[uint32]bool{}
+	for range streams {
+		o := event[logic.Open](next)
+		opened[o.Request.ID] = true
+		if o.Server != 0 || o.Request.Key != 0x7f3a || o.Request.Group != 0x5c {
+			t.Errorf("%+v", o)
+		}
+	}
+	if len(opened) != streams {
+		t.Errorf("%d are known to the successor", len(opened))
+	}
+	// They are the successor's in all: ends are passed on in kind, and it moves them when it goes itself.
+	g.check(pairs[0][1].Close())
+	pairs[0][0].ended(true)
+	g.check(pairs[1][0].SetLinger(0))
+	g.check(pairs[1][0].Close())
+	pairs[1][1].ended(false)
+	next.l.Post(next.r.Drain)
+	for _, p := range pairs[2:] {
+		p[0].want("MOVE\r\n")
+		p[0].ended(true)
+	}
+}
+
+// What the successor can't or doesn't take stays with the old process and is moved, between two lines.
+func TestWhatDoesNotPassIsMoved(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		peer  func(*rig) (path string, pid int) // the other side
+		first func(client, target *peer)        // said before the hand-over
+		then  string                            // said by the target after it
+	}{
+		{name: "nobody there", peer: func(*rig) (string, int) { return filepath.Join(t.TempDir(), "none"), os.Getpid() }},
+		{name: "another process than the note says", peer: func(g *rig) (string, int) {
+			_, path := g.successor()
+			return path, 1
+		}},
+		{name: "a successor on its way out", peer: func(g *rig) (string, int) {
+			next, path := g.successor()
+			next.manage(duty.LameDuckCall)
+			return path, os.Getpid()
+		}},
+		{name: "a successor that doesn't know the server", peer: func(g *rig) (string, int) {
+			g.known = []byte(`{"generation":1,"reset":true,"instances":[]}`)
+			_, path := g.successor()
+			return path, os.Getpid()
+		}},
+		{name: "a successor short of descriptors", peer: func(g *rig) (string, int) {
+			next, path := g.successor()
+			next.inLoop(func() { next.r.cfg.Descriptors = 1 })
+			return path, os.Getpid()
+		}},
+		{name: "a successor that never answers", peer: mute(nil)},
+		{name: "a successor that dies", peer: mute(func(link *loop.Packets) { link.Close() })},
+		{name: "a successor that talks nonsense", peer: mute(func(link *loop.Packets) { _ = link.Send([]byte("yes")) })},
+		{name: "a successor that takes another", peer: mute(func(link *loop.Packets) { _ = link.Send(handover.Answer(7, true)) })},
+		{name: "a line under way", peer: func(g *rig) (string, int) {
+			_, path := g.successor()
+			return path, os.Getpid()
+		}, first: func(client, target *peer) {
+			target.say("ha")
+			two := make([]byte, 2)
+			_, err := client.rd.Read(two)
+			client.g.check(err)
+		}, then: "lf\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newRig(t, 1, to, nil)
+			path, pid := c.peer(g)
+			client, target := g.stand()
+			if c.first != nil {
+				c.first(client, target)
+			}
+			g.handOver(path, pid)
+			if c.then != "" {
+				for done := false; !done; { // all the while it is looked at, and can't pass
+					g.inLoop(func() { done = g.r.drain.passer != nil && g.r.drain.passer.done })
+				}
+				target.say(c.then)
+				client.want(c.then)
+			}
+			client.want("MOVE\r\n")
+			client.ended(true)
+			_ = client.Close()
+			if o := event[logic.Outcome](g); o.Status != logic.Cancelled || !o.Closed {
+				t.Errorf("%+v", o)
+			}
+			g.stops()
+			if g.r.counts.passed != 0 {
+				t.Errorf("%d passed", g.r.counts.passed)
+			}
+		})
+	}
+}
+
+// While the successor has not answered, nobody reads the connection; what came meanwhile is passed on once it is clear
+// who has it.
+func TestNothingIsReadWhileOffered(t *testing.T) {
+	g := newRig(t, 1, to, nil)
+	path, pid := mute(nil)(g)
+	client, target := g.stand()
+	g.handOver(path, pid)
+	for offered := 0; offered == 0; {
+		g.inLoop(func() {
+			if p := g.r.drain.passer; p != nil {
+				offered = len(p.offered)
+			}
+		})
+	}
+	client.say("from the client\r\n")
+	target.say("from the server\r\n")
+	target.want("from the client\r\n")
+	client.want("from the server\r\n")
+	client.want("MOVE\r\n")
+	client.ended(true)
+}
+
+// How long a server has said nothing is told to the successor: silence begun under the old process still ends in time.
+func TestSilencePasses(t *testing.T) {
+	g := newRig(t, 1, to, nil)
+	next, path := g.successor()
+	client, target := g.stand()
+	client.say("anybody?\r\n")
+	target.want("anybody?\r\n")
+	g.inLoop(func() {
+		s := g.only()
+		s.lastBack -= 10 * sec
+		s.waiting[0] -= 10 * sec
+	})
+	quiet := make(chan loop.Micros, 1)
+	next.inLoop(func() {
+		next.decide = func(ev logic.Event) []logic.Action {
+			if _, ok := ev.(logic.Open); ok {
+				quiet <- next.l.Now() - next.only().lastBack
+			}
+			return nil
+		}
+	})
+	g.handOver(path, os.Getpid())
+	if age := <-quiet; age < 10*sec {
+		t.Errorf("silent for %d µs, as far as the successor knows", age)
+	}
+	client.want("MOVE\r\n")
+	client.ended(true)
+	next.inLoop(func() {
+		if next.r.counts.adopted != 1 || next.r.counts.silent != 1 {
+			t.Errorf("%+v", next.r.counts)
+		}
+	})
+}
+
+// mute is a process that takes offers and answers in its own way, or not at all.
+func mute(answer func(*loop.Packets)) func(*rig) (string, int) {
+	return func(g *rig) (string, int) {
+		path := filepath.Join(g.t.TempDir(), "mute.sock")
+		g.inLoop(func() {
+			_, err := g.l.ListenPackets(path, func(*loop.Packets) loop.PacketOwner { return deaf{answer} })
+			g.check(err)
+		})
+		return path, os.Getpid()
+	}
+}
+
+type deaf struct{ answer func(*loop.Packets) }
+
+func (deaf) Ended(link *loop.Packets) { link.Close() }
+func (d deaf) Packet(link *loop.Packets, _ []byte, fds []int) {
+	for _, fd := range fds {
+		_ = unix.Close(fd)
+	}
+	if d.answer != nil {
+		d.answer(link)
+	}
+}
+
+// What comes to the socket and is no standing connection is refused, holds no descriptor, and hurts nobody.
+func TestBadOffers(t *testing.T) {
+	g := newRig(t, 1, to, nil)
+	_, path := g.successor()
+	client, target := g.stand()
+	good := handover.Standing{Ref: 9, ID: 1, Class: "sync", Target: "s0"}
+	packet, err := good.Encode()
+	g.check(err)
+	answers := make(chan string, 1)
+	var link *loop.Packets
+	g.inLoop(func() {
+		link, err = g.l.DialPackets(path, os.Getpid(), hearing(answers))
+		g.check(err)
+	})
+	for _, c := range []struct {
+		name, text string
+		conns      int
+		want       string
+	}{
+		{"no JSON", "hello", 0, "-0"},
+		{"cut off", string(packet[:20]), 2, "-0"},
+		{"no sockets", string(packet), 0, "-9"},
+		{"one socket", string(packet), 1, "-9"},
+	} {
+		g.inLoop(func() {
+			conns := []*loop.Conn{g.only().in.(*door).conn, g.only().hop.out.(*loop.Conn)}
+			g.check(link.Send([]byte(c.text), conns[:c.conns]...))
+		})
+		if got := <-answers; got != c.want {
+			t.Errorf("%s: %q", c.name, got)
+		}
+	}
+	target.say("still there\r\n")
+	client.want("still there\r\n")
+}
+
+type hearing chan string
+
+func (hearing) Ended(link *loop.Packets)                    { link.Close() }
+func (h hearing) Packet(_ *loop.Packets, b []byte, _ []int) { h <- string(b) }
+
+// only is the one session there is, read on the loop.
+func (g *rig) only() (s *session) {
+	for _, s = range g.r.sessions.All {
+	}
+	return s
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -78,7 +78,7 @@
 }
 
 // counts are what the log tells now and then.
-type counts struct{ taken, up, shed, failed, moved, silent, odd, evicted, trunksFailed, echoes int }
+type counts struct{ taken, up, shed, failed, moved, silent, odd, evicted, trunksFailed, echoes, passed, adopted int }
 
 // New starts a relay on the loop: it listens, and its module starts from the known list.
 func New(l *loop.Loop, cfg Config, log *logrus.Logger) (*Relay, error) {
@@ -275,7 +275,7 @@
 	fields := logrus.Fields{
 		logs.Standing: r.sessions.Len(), logs.Sockets: r.l.Descriptors(), logs.Taken: r.counts.taken, logs.Up: r.counts.up,
 		logs.Shed: r.counts.shed, logs.Failed: r.counts.failed, logs.Moved: r.counts.moved, logs.Silent: r.counts.silent,
-		logs.Odd: r.counts.odd, logs.Evicted: r.counts.evicted,
+		logs.Odd: r.counts.odd, logs.Evicted: r.counts.evicted, logs.Adopted: r.counts.adopted,
 	}
 	r.resumption.report(fields)
 	if r.cfg.Channels != nil {
--- a/internal/relay/rig_test.go
+++ b/internal/relay/rig_test.go
@@ -30,6 +30,7 @@
 
 // rig is a relay on a loop of its own, whose decisions a test writes; it stands between real sockets.
 type rig struct {
+	known   []byte // the list that the relay started with
 	t       *testing.T
 	r       *Relay
 	l       *loop.Loop
@@ -69,6 +70,7 @@
 	if change != nil {
 		change(&cfg)
 	}
+	g.known = cfg.Known
 	g.l, err = loop.New()
 	g.check(err)
 	log := logrus.New()
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -19,6 +19,7 @@
 	open                  // it stands
 	leaving               // its client has ended its side, the target has not
 	over                  // answered, moved or ended
+	passing               // offered to the successor, which has not answered: nobody reads it meanwhile
 )
 
 const (
@@ -83,6 +84,7 @@
 	verdict  logic.Status // what the target's last words make of its end
 	stalled  bool         // its client does not read, and so its target is not read either
 	moving   bool         // moved as soon as the line under way has ended
+	refused  bool         // the successor does not take it
 	kept     keeper       // of lines, where only whole ones are passed on
 	stream   *stream      // of a client that takes tokens
 }
@@ -119,7 +121,7 @@
 // Readable reads what the client sends.
 func (s *session) Readable() {
 	for range fairRounds {
-		if s.phase == over || s.phase == leaving || s.phase == open && s.hop.out.Pending() > s.r.maxPending {
+		if s.phase == over || s.phase == leaving || s.phase == passing || s.phase == open && s.hop.out.Pending() > s.r.maxPending {
 			return // in the last case it is read on once there is room
 		}
 		n, err := s.in.Read(s.r.scratch)
