--- /dev/null
+++ b/cmd/spurspread/upgrade_test.go
@@ -0,0 +1,185 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// indexNode serves every connection that comes: UP for the first line, and each further line back as it came. It counts
+// how often each id asked.
+type indexNode struct {
+	mu    sync.Mutex
+	asked map[string]int
+}
+
+func (n *indexNode) serve(ln *net.TCPListener) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = c.Close() }()
+			in := bufio.NewReader(c)
+			first, err := in.ReadString('\n')
+			if fields := strings.Fields(first); err == nil && len(fields) > 1 {
+				n.mu.Lock()
+				n.asked[fields[1]]++
+				n.mu.Unlock()
+			}
+			_, _ = c.Write([]byte("UP r1\r\n"))
+			for err == nil {
+				var text string
+				if text, err = in.ReadString('\n'); err == nil {
+					_, err = c.Write([]byte(text))
+				}
+			}
+		}()
+	}
+}
+
+// times is how often each of the first ids asked.
+func (n *indexNode) times(ids int) []int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	times := make([]int, ids)
+	for i := range times {
+		times[i] = n.asked[fmt.Sprintf("%08x", i)]
+	}
+	return times
+}
+
+// stream is a client that stands; it says a line and waits until that has come back, over and over.
+type stream struct {
+	c    net.Conn
+	in   *bufio.Reader
+	said int
+}
+
+func open(addr string, id int) (*stream, string, error) {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return nil, "", err
+	}
+	_ = c.SetDeadline(time.Now().Add(60 * time.Second)) // only so that a fault ends the test
+	s := &stream{c: c, in: bufio.NewReader(c)}
+	if _, err := fmt.Fprintf(c, "OPEN %08x 7f3a c=index-sync,d=1200\r\n", id); err != nil {
+		return s, "", err
+	}
+	answer, err := s.in.ReadString('\n')
+	return s, answer, err
+}
+
+// round says one line and reads it back.
+func (s *stream) round() error {
+	s.said++
+	text := fmt.Sprintf("line %d\r\n", s.said)
+	if _, err := s.c.Write([]byte(text)); err != nil {
+		return err
+	}
+	if got, err := s.in.ReadString('\n'); got != text {
+		return fmt.Errorf("%q came back for %q, %v", got, text, err)
+	}
+	return nil
+}
+
+// Under a steady load, standing streams go on through an upgrade without noticing it, and every client that comes
+// meanwhile is answered, by one process or the other.
+func TestUpgradeUnderLoad(t *testing.T) {
+	const standing = 24
+	node, discovery, clients := &indexNode{asked: map[string]int{}}, listener(t), freePort(t)
+	path := env(t, "127.0.0.1:8081", clients)("GW_CONFIG")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := strings.Replace(string(text), "127.0.0.1:8500", discovery.Addr().String(), 1)
+	for _, at := range []string{"127.0.0.1:9001", "127.0.0.1:9002"} {
+		ln := listener(t)
+		_ = ln.SetDeadline(time.Time{})
+		go node.serve(ln)
+		changed = strings.Replace(changed, at, ln.Addr().String(), 1)
+	}
+	if err := os.WriteFile(path, []byte(changed), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	tmp := "TMPDIR=" + t.TempDir()
+	old := start(t, "GW_CONFIG="+path, tmp)
+	var streams []*stream
+	for i := range standing {
+		s, answer, err := open(clients, i)
+		if answer != "UP r1\r\n" {
+			t.Fatalf("stream %d: %q, %v", i, answer, err)
+		}
+		streams = append(streams, s)
+	}
+	asked := node.times(standing)
+	var stop atomic.Bool
+	var rounds atomic.Int64
+	var load sync.WaitGroup
+	for i, s := range streams {
+		load.Go(func() {
+			for !stop.Load() {
+				if err := s.round(); err != nil {
+					t.Errorf("stream %d: %v", i, err)
+					return
+				}
+				rounds.Add(1)
+			}
+		})
+	}
+	came := 0
+	load.Go(func() {
+		for id := 1000; !stop.Load(); id++ {
+			s, answer, err := open(clients, id)
+			if answer != "UP r1\r\n" && !strings.HasPrefix(answer, "BUSY") {
+				t.Errorf("a client that came meanwhile: %q, %v", answer, err)
+			}
+			if s != nil {
+				_ = s.c.Close()
+			}
+			came++
+		}
+	})
+	next := start(t, "GW_CONFIG="+path, tmp)
+	if err := old.cmd.Process.Signal(unix.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	old.logged("passed standing connections")
+	if err := old.cmd.Wait(); err != nil {
+		t.Errorf("the old one ended with %v", err)
+	}
+	for from := rounds.Load(); rounds.Load() < from+50*standing && !t.Failed(); {
+		time.Sleep(time.Millisecond)
+	}
+	stop.Store(true)
+	load.Wait()
+	t.Logf("%d rounds, %d clients came", rounds.Load(), came)
+	for id, n := range node.times(standing) {
+		if n != asked[id] {
+			t.Errorf("stream %d asked again", id)
+		}
+	}
+	// They are the new one's now: it moves them all when it goes.
+	if err := next.cmd.Process.Signal(unix.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for i, s := range streams {
+		if got, err := s.in.ReadString('\n'); got != "MOVE\r\n" {
+			t.Errorf("stream %d: %q, %v", i, got, err)
+		}
+		_ = s.c.Close()
+	}
+	if err := next.cmd.Wait(); err != nil {
+		t.Errorf("the new one ended with %v", err)
+	}
+}
