Spread a lame duck's moves over 2.8 s; fill servers by the fleet's rate over its balancers

Ruled out: failing set-ups (failing 0.05), retries (30 left), demoted servers (4 of 5 at best rank), the management calls (0 late). At fault: relay.evacuateAll, which used the longest deadline where a drain has 4 s, and logic's fillRate and fillBurst, which were one balancer's whatever the fleet.

Change: a lame duck moves over 2.8 s (SIGTERM meanwhile plans anew within the longest deadline); fillRate and fillBurst are the fleet's, divided by the balancers that the settings tell, with a third at least for each, which is what 3 and more had.

--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -11,10 +11,10 @@
 	drainMost   = 3 * sec  // deadlines count for no more at a planned restart
 	drainLeast  = 600 * ms // new connections come for so long after SIGTERM
 	drainFirst  = 50 * ms
-	drainSpread = 1.0 // of the longest deadline: the clients moved away come back spread over that
 	drainAnswer = 200 * ms
 	drainRoom   = 450 * ms // beyond the longest deadline; SIGKILL comes 0.7 s beyond it
 	drainLook   = 20 * ms
+	lameSpan    = 2800 * ms // of a lame duck's moves: nobody may be left after 4 s, and a line under way has moveTime
 )
 
 // drain is the state of a planned stop, or of a lame duck that may be called back.
@@ -53,7 +53,7 @@
 	if a.Changed {
 		if a.Next == duty.LameDuck {
 			r.log.WithField(logs.Standing, r.sessions.Len()).Info("lame duck: moving all clients away")
-			r.evacuateAll()
+			r.evacuateAll(lameSpan)
 		} else {
 			r.drain.on = false
 			r.drain.round++
@@ -64,15 +64,13 @@
 }
 
 // Drain stops in a planned way: what is new is shed, hops are finished or answered, every standing connection is
-// moved, and then the loop stops. A lame duck's moves go on as they were planned.
+// moved, and then the loop stops. What a lame duck still has is moved sooner than it had planned.
 func (r *Relay) Drain() {
 	if r.drain.stopping {
 		return
 	}
 	r.log.WithField(logs.Standing, r.sessions.Len()).Info("draining")
-	if !r.drain.on {
-		r.evacuateAll()
-	}
+	r.evacuateAll(r.longest())
 	r.drain.stopping = true
 	r.l.After(drainLook, r.drained)
 }
@@ -86,24 +84,19 @@
 		return
 	}
 	r.log.WithField(logs.Standing, r.sessions.Len()).Info("draining")
-	lame := r.drain.on
-	if !lame {
-		r.startDrain()
-	}
+	r.startDrain()
 	r.drain.stopping, r.drain.handing = true, true
 	r.ingress.Shut()
 	r.log.Info("handed over: the successor takes new clients")
-	if !lame {
-		r.pass(path, pid)
-	}
+	r.pass(path, pid)
 	r.l.After(drainLook, r.drained)
 }
 
-// evacuateAll moves every standing connection, spread over the longest deadline, for all clients moved at one moment
-// would come back in one moment.
-func (r *Relay) evacuateAll() {
+// evacuateAll moves every standing connection, spread over the span, for all clients moved at one moment would come
+// back in one moment.
+func (r *Relay) evacuateAll(span loop.Micros) {
 	r.startDrain()
-	r.moveStanding()
+	r.moveStanding(span)
 }
 
 // startDrain has fronts told no; connections that were to resume are shed.
@@ -116,9 +109,9 @@
 	}
 }
 
-// moveStanding moves what stands over what is left of the longest deadline since the drain began.
-func (r *Relay) moveStanding() {
-	round, spent := r.drain.round, r.l.Now()-r.drain.began
+// moveStanding moves what stands over what is left of the span since the drain began.
+func (r *Relay) moveStanding(span loop.Micros) {
+	round, left := r.drain.round, max(span-(r.l.Now()-r.drain.began), 0)
 	var standing []*session
 	for _, s := range r.sessions.All {
 		if s.phase == open {
@@ -128,15 +121,14 @@
 	for m := range r.muxes {
 		r.l.After(0, m.goodbye)
 	}
-	span := drainSpread * float64(max(r.longest()-spent, 0))
 	for i, s := range standing {
-		r.l.After(drainFirst+loop.Micros(span*float64(i)/float64(len(standing))), func() {
+		r.l.After(drainFirst+left*loop.Micros(i)/loop.Micros(len(standing)), func() {
 			if r.drain.round == round {
 				s.leave(logic.Cancelled, true)
 			}
 		})
 	}
-	r.l.After(r.longest()+drainAnswer-spent, func() {
+	r.l.After(left+drainAnswer, func() {
 		if r.drain.round != round {
 			return
 		}
--- a/internal/relay/lameduck_test.go
+++ b/internal/relay/lameduck_test.go
@@ -99,6 +99,28 @@
 	g.check(err)
 }
 
+// SIGTERM during a lame duck leaves less time than it had planned: its moves come sooner, and nobody is cut off.
+func TestTermDuringLameDuck(t *testing.T) {
+	g := newRig(t, 1, to, func(cfg *Config) { cfg.Settings.Logic.Classes[0].Deadline = 600_000 })
+	var clients []*peer
+	for i := range 30 {
+		c, _ := g.stands(0x1000 + i)
+		clients = append(clients, c)
+	}
+	g.inLoop(func() {
+		g.r.Manage(duty.LameDuckCall)
+		g.r.Drain()
+	})
+	for i, c := range clients {
+		if got := c.line(); got != "MOVE\r\n" {
+			t.Fatalf("client %d: %q", i, got)
+		}
+		c.ended(true)
+		_ = c.Close()
+	}
+	g.stops()
+}
+
 // Duty is read on the loop.
 func (g *rig) Duty() (d duty.State) {
 	g.inLoop(func() { d = g.r.Duty() })
--- a/internal/relay/pass.go
+++ b/internal/relay/pass.go
@@ -30,7 +30,7 @@
 	link, err := r.l.DialPackets(path, pid, p)
 	if err != nil {
 		r.log.WithError(err).Info("the successor takes no standing connections: moving them")
-		r.moveStanding()
+		r.moveStanding(r.longest())
 		return
 	}
 	p.link, r.drain.passer = link, p
@@ -145,7 +145,7 @@
 	}
 	p.r.log.WithField(logs.Passed, p.r.counts.passed).WithField(logs.Standing, p.r.sessions.Len()).
 		Info("passed standing connections to the successor")
-	p.r.moveStanding()
+	p.r.moveStanding(p.r.longest())
 }
 
 // TakeOver listens at the path for connections that an older process passes on when it ends.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -53,11 +53,10 @@
 	resetPause = 2 * sec  // the same after a reset
 	resetPair  = 1 * sec  // two resets within this are the doing of the server
 
-	failMemory = 0.1
-	setUpRise  = 1.6 // with setUpFall, settles where about two thirds of set-ups are quicker
-	setUpFall  = 1.25
-	setUpLeast = 1000
-	failShared = 0.5 // of recent set-ups fail: the cause is shared
+	failMemory           = 0.1
+	setUpRise, setUpFall = 1.6, 1.25 // settle where about two thirds of set-ups are quicker
+	setUpLeast           = 1000
+	failShared           = 0.5 // of recent set-ups fail: the cause is shared
 
 	// While set-ups fail, what is sent is so many times what comes to stand, and some to find out.
 	throttleTimes = 2.0
@@ -72,20 +71,21 @@
 	widthLeast, widthMost, widthStart = 2.0, 40.0, 12.0
 
 	// Filling servers.
-	coldRate   = 3.8  // connections a second that a warm server of mean size takes, for a cold one's budget
-	fillRate   = 3.5  // connections a second that a warm server of mean size gets at most
-	fillBurst  = 8    // and at once
-	fillFirst  = 18   // by a balancer that has just started, until a server tells of lateness
-	thinPart   = 0.07 // of the fleet is out: what comes back is more than the rest had
-	thinPrice  = 2.5  // of the filling rate, for each of those
-	owedFade   = 0.1  // a second, of those that are still to come back
-	mostCut    = 0.9  // of what a server had that could not carry it, it may have again
-	mostGrow   = 0.05 // a second, by which that rises while it is in time
-	mostLeast  = 1.0  // the same, in connections
-	groupBonus = 50   // times as likely is a server that has others of the group
-	groupLoad  = 0.5  // connections that a group counts as, besides its own
-	evenness   = 2.0  // how strongly a server's load tells against it
-	evenLeast  = 10.0 // connections; fewer of a balancer's own say little against a group's hash
+	coldRate   = 3.8    // connections a second that a warm server of mean size takes, for a cold one's budget
+	fillRate   = 10.5   // connections a second that a warm server of mean size gets at most, of all balancers
+	fillBurst  = 24.0   // and at once
+	fillShare  = 1 / 3. // of both, at least, for each: less would not place what comes back to one of many
+	fillFirst  = 18     // by a balancer that has just started, until a server tells of lateness
+	thinPart   = 0.07   // of the fleet is out: what comes back is more than the rest had
+	thinPrice  = 2.5    // of the filling rate, for each of those
+	owedFade   = 0.1    // a second, of those that are still to come back
+	mostCut    = 0.9    // of what a server had that could not carry it, it may have again
+	mostGrow   = 0.05   // a second, by which that rises while it is in time
+	mostLeast  = 1.0    // the same, in connections
+	groupBonus = 50     // times as likely is a server that has others of the group
+	groupLoad  = 0.5    // connections that a group counts as, besides its own
+	evenness   = 2.0    // how strongly a server's load tells against it
+	evenLeast  = 10.0   // connections; fewer of a balancer's own say little against a group's hash
 
 	standSpan = 60 * sec // memory of the most that stood
 
@@ -880,7 +880,7 @@
 	switch n := float64(len(s.conns) + s.pending); {
 	case s.delay > slowAt:
 		for _, o := range b.servers {
-			o.tokens = min(o.tokens, fillBurst)
+			o.tokens = min(o.tokens, fillBurst*max(b.share(1), fillShare))
 		}
 		s.most = min(s.most, n)
 		b.demoteSoft(now, s)
@@ -986,9 +986,9 @@
 // later, so a crowd is let in at a rate, each server by its size, and goes on to other zones where home has
 // had its part. A server that told of lateness gets no more than it had until it has been in time a while.
 func (b *Balancer) room(now Micros, r *request, s *server) bool {
-	size := s.Units / b.meanUnits
-	if burst := max(fillBurst*size, r.price); s.tokens < burst {
-		s.tokens = min(s.tokens+fillRate*size*(now-s.tokensAt).seconds(), burst)
+	part := s.Units / b.meanUnits * max(b.share(1), fillShare)
+	if burst := max(fillBurst*part, r.price); s.tokens < burst {
+		s.tokens = min(s.tokens+fillRate*part*(now-s.tokensAt).seconds(), burst)
 	}
 	s.tokensAt = now
 	return b.set.Pass || s.tokens >= r.price && float64(len(s.conns)+s.pending) < s.most
