Say goodbye on every connection with channels before a planned stop ends the loop

Seen: the connection's client heard nothing for 10 s. The last channel's end sets the goodbye for the loop's next turn (chanClient.leave), and drained, due in the same turn, found no session left and stopped the loop, so that turn never came. Ruled out: a connection not yet greeted (several round trips lie between). A test forces that order and failed before; a connection that came late was told nothing either.

Change: drained says goodbye itself once new connections no longer come, and waits for it.

--- a/internal/relay/channels_test.go
+++ b/internal/relay/channels_test.go
@@ -615,6 +615,31 @@
 	g.check(err)
 }
 
+// The loop doesn't stop before a connection whose last channel has just ended has heard goodbye, nor one that came late.
+func TestGoodbyeBeforeTheStop(t *testing.T) {
+	g := newRig(t, 1, to, channelsOn)
+	c := g.connection()
+	ch, err := c.Open("OPEN a1 7 c=sync,d=60000")
+	g.check(err)
+	g.check(g.trunk(0).Accept().Confirm("UP r"))
+	g.answered(ch, true, 0, "UP r")
+	var late *sshchan.Conn
+	g.inLoop(g.r.Drain)
+	late = g.connection()
+	g.inLoop(func() {
+		g.r.drain.began -= 2 * drainLeast // that time is over
+		g.only().leave(logic.Cancelled, true)
+		g.r.drained()
+	})
+	g.overChannel(ch).moved()
+	for _, conn := range []*sshchan.Conn{c, late} {
+		if ch := conn.Accept(); ch != nil || conn.Goodbye != "11 the balancer stops" {
+			t.Errorf("%q", conn.Goodbye)
+		}
+	}
+	g.stops()
+}
+
 // A drain of one target moves the channels that are there, with their tokens; the connection stays for the others.
 func TestDrainOneTarget(t *testing.T) {
 	g := resumeRig(t, channelsOn)
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -162,10 +162,16 @@
 	})
 }
 
-// drained stops the loop once nothing is left, or when time is up.
+// drained stops the loop once nothing is left, or when time is up. Connections with channels hear goodbye first, also
+// one that came late, or whose last channel ended in this very turn.
 func (r *Relay) drained() {
 	spent := r.l.Now() - r.drain.began
-	if spent >= drainLeast && r.sessions.Len()+r.ending == 0 || spent >= r.longest()+drainRoom {
+	if spent >= drainLeast {
+		for m := range r.muxes {
+			m.goodbye()
+		}
+	}
+	if spent >= drainLeast && r.sessions.Len()+r.ending+len(r.muxes) == 0 || spent >= r.longest()+drainRoom {
 		r.log.WithField(logs.Left, r.sessions.Len()).Info("drained")
 		r.l.Stop()
 		return
