--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -1,7 +1,7 @@
-// Package handover passes word between two versions of a balancer on the same clients' address, through a small
-// versioned file under $TMPDIR: the newer one writes that it serves; the older one reads it at SIGTERM, to know that
-// its listener may close without shutting anybody out. It knows files and their form, and nothing of sockets or of the
-// loop. No process needs the file to start: one that is missing, broken or of another version says nothing.
+// Package handover holds what two versions of a balancer on the same clients' address tell each other: a small versioned
+// file under $TMPDIR, in which the newer one says that it serves, and which the older one reads at SIGTERM, to know that
+// its listener may close without shutting anybody out; and the packets in which the older one offers what stands. It
+// knows their forms, and nothing of sockets or of the loop. No process needs the file to start: one that is missing, broken or of another version says nothing.
 package handover
 
 import (
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -77,7 +77,7 @@
 
 // HandOver stops as Drain does, for a successor that listens on the same port: what waits in the accept queue is
 // taken in, the listener closes, so that the kernel gives all that is new to the successor, and what was taken in is
-// served and moved soon after it stands, as a lame duck's is, rather than shed.
+// served, and passed on or moved soon after it stands, rather than shed.
 // What stands passes to the successor, which is process pid and listens at the path; what can't pass is moved.
 func (r *Relay) HandOver(path string, pid int) {
 	if r.drain.stopping {
