Name the hand-over note by the address that was bound, not the configured one

Cause: two balancers with listen 127.0.0.1:0 and one TMPDIR shared one note, and at SIGTERM the one closed its listener for the other and offered it its clients, though they serve different ports. At fault: serve.go, which took cfg.Listen. A test of two such processes failed before (the log said 'handed over') and passes now. The platform's addresses have ports: not affected.

--- a/cmd/spurspread/main_test.go
+++ b/cmd/spurspread/main_test.go
@@ -328,6 +328,24 @@
 	return addr
 }
 
+// Balancers that share a $TMPDIR and were given ports by the kernel are no versions of one another.
+func TestStrangersHandNothingOver(t *testing.T) {
+	path, tmp := env(t, "127.0.0.1:8081", "127.0.0.1:0")("GW_CONFIG"), "TMPDIR="+t.TempDir()
+	first := start(t, "GW_CONFIG="+path, tmp)
+	start(t, "GW_CONFIG="+path, tmp)
+	if err := first.cmd.Process.Signal(unix.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for first.log.Scan() {
+		if text := first.log.Text(); strings.Contains(text, "handed over") {
+			t.Error(text)
+		}
+	}
+	if err := first.cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
 // A new version beside the old one: it says yes when it serves; at SIGTERM the old one hands over, and from then on
 // every new client reaches the new one, also after the old one was killed in the middle.
 func TestNewVersionBesideTheOld(t *testing.T) {
--- a/cmd/spurspread/serve.go
+++ b/cmd/spurspread/serve.go
@@ -78,12 +78,14 @@
 			return errors.Join(err, l.Close())
 		}
 	}
-	note, taking := handover.Path(os.TempDir(), cfg.Listen), handover.SocketPath(os.TempDir(), cfg.Listen)
+	// By the address that was bound: one with port 0 in the configuration may be many balancers'.
+	listen := r.Addr()
+	note, taking := handover.Path(os.TempDir(), listen), handover.SocketPath(os.TempDir(), listen)
 	go func() {
 		for sig := range signals {
 			if sig == unix.SIGHUP {
 				c.reload(s.getenv, l, r, log)
-			} else if pid := successor(note, cfg.Listen); pid != 0 {
+			} else if pid := successor(note, listen); pid != 0 {
 				l.Post(func() { r.HandOver(taking, pid) })
 			} else {
 				l.Post(r.Drain)
@@ -95,7 +97,7 @@
 	if err := r.TakeOver(taking); err != nil {
 		log.WithError(err).Warn("takes no standing connections from an older process")
 	}
-	if err := handover.Write(note, handover.Note{PID: os.Getpid(), Listen: cfg.Listen.String(), Since: time.Now().UnixMilli()}); err != nil {
+	if err := handover.Write(note, handover.Note{PID: os.Getpid(), Listen: listen.String(), Since: time.Now().UnixMilli()}); err != nil {
 		log.WithError(err).Warn("no hand-over note")
 	}
 	log.WithField(logs.Listen, r.Addr()).Info("started")
