--- a/lab/experiment/experiment.go
+++ b/lab/experiment/experiment.go
@@ -74,6 +74,7 @@
 	Name     form.Name `xml:"name,attr" use:"required" key:"passes"`
 	Tokens   bool      `xml:"tokens,attr" default:"false" doc:"the site file allows tokens, and clients take them"`
 	Twice    bool      `xml:"twice,attr" default:"false" doc:"clients present each token at two balancers at once"`
+	Apart    bool      `xml:"apart,attr" default:"false" doc:"a balancer's processes have no TMPDIR in common, and so nothing passes to a new one"`
 	Channels bool      `xml:"channels,attr" default:"false" doc:"clients and nodes speak multiplexed channels"`
 }
 
@@ -84,7 +85,7 @@
 
 // Step is one thing that happens.
 type Step struct {
-	Do       string        `xml:"do,attr" use:"required" enum:"drain,kill-node,hang-node,wake-node,restart-node,list-gone,kill-balancer,start-balancer,terminate-balancer,settle,garbage,watch,hold-clients,release-clients,stop-reading-node,break-trunks,weigh" doc:"settle: until all streams stand; garbage: clients that present garbage tokens as fast as they can; watch: measure the streams beside what the step names; hold-clients: the first client of each connection reads nothing; stop-reading-node: it goes on sending; break-trunks: the node's connections with channels are reset; weigh: the balancers' memory for each stream"`
+	Do       string        `xml:"do,attr" use:"required" enum:"drain,kill-node,hang-node,wake-node,restart-node,list-gone,kill-balancer,start-balancer,terminate-balancer,upgrade-balancer,settle,garbage,watch,hold-clients,release-clients,stop-reading-node,break-trunks,weigh" doc:"upgrade-balancer: a new process beside the old one, which is then stopped in the planned way; settle: until all streams stand; garbage: clients that present garbage tokens as fast as they can; watch: measure the streams beside what the step names; hold-clients: the first client of each connection reads nothing; stop-reading-node: it goes on sending; break-trunks: the node's connections with channels are reset; weigh: the balancers' memory for each stream"`
 	After    form.Duration `xml:"after,attr" default:"0s" max:"10m" doc:"the step before"`
 	Jitter   form.Duration `xml:"jitter,attr" default:"0s" max:"1m" doc:"and up to so much, drawn from the seed"`
 	Node     int           `xml:"node,attr" default:"0"`
@@ -231,7 +232,7 @@
 	w, err := world.Start(ctx, world.Config{Program: o.Program, Dir: dir, Balancers: e.Fleet.Balancers, Nodes: e.Fleet.Nodes,
 		Tokens: p.Tokens, Seed: o.Seed, Interval: e.Load.Interval.Std(), Keep: uint64(e.Load.Keep),
 		Length: int(e.Load.Length), StoreRate: float64(e.Fleet.Store), SetUp: e.Fleet.SetUp.Std(), Patience: e.Fleet.Patience.Std(), Late: e.Fleet.Late.Std(),
-		Notice: e.Fleet.Notice.Std(), Fault: o.Fault, Channels: p.Channels})
+		Notice: e.Fleet.Notice.Std(), Fault: o.Fault, Channels: p.Channels, Apart: p.Apart})
 	if err != nil {
 		return err
 	}
@@ -352,6 +353,12 @@
 		if code := w.Balancers[s.Balancer].Terminate(); code != 0 {
 			return fmt.Errorf("balancer %d ended with %d: %v", s.Balancer, code, w.Balancers[s.Balancer].Tail())
 		}
+	case "upgrade-balancer":
+		code, err := w.Balancers[s.Balancer].Upgrade()
+		if err == nil && code != 0 {
+			err = fmt.Errorf("the old process of balancer %d ended with %d: %v", s.Balancer, code, w.Balancers[s.Balancer].Tail())
+		}
+		return err
 	case "settle":
 		return pl.settle(s.Within.Std())
 	case "garbage":
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -36,6 +36,7 @@
 type Config struct {
 	Program   string // the balancer's
 	Dir       string // for its files; must exist
+	Apart     bool   // each process has a TMPDIR of its own, and so nothing passes to a new version
 	Balancers int
 	Nodes     int
 	Tokens    bool // the site file turns resume tokens on
@@ -333,7 +334,13 @@
 	}
 	// As the platform starts it: by its environment alone.
 	cmd := exec.Command(b.w.cfg.Program)
-	cmd.Env = []string{"GW_CONFIG=" + path, "SPURSPREAD_LOG_FORMAT=json", "SPURSPREAD_SITE=" + b.w.site}
+	tmp := b.w.cfg.Dir
+	if b.w.cfg.Apart {
+		if tmp, err = os.MkdirTemp(tmp, "apart"); err != nil {
+			return err
+		}
+	}
+	cmd.Env = []string{"GW_CONFIG=" + path, "SPURSPREAD_LOG_FORMAT=json", "SPURSPREAD_SITE=" + b.w.site, "TMPDIR=" + tmp}
 	said, err := cmd.StderrPipe()
 	if err != nil {
 		return err
@@ -453,6 +460,22 @@
 	b.wait()
 }
 
+// Upgrade starts a new process beside the present one, on the same address, and once that listens ends the old one in the
+// planned way. It returns the old one's exit code.
+func (b *Balancer) Upgrade() (int, error) {
+	b.mu.Lock()
+	old, done := b.cmd, b.done
+	b.mu.Unlock()
+	if err := b.Start(); err != nil {
+		return 0, err
+	}
+	if err := old.Process.Signal(syscall.SIGTERM); err != nil {
+		return 0, err
+	}
+	<-done
+	return old.ProcessState.ExitCode(), nil
+}
+
 // Terminate ends it in the planned way, and returns its exit code.
 func (b *Balancer) Terminate() int {
 	b.Signal(syscall.SIGTERM)
