Decide what passes to a new version in decide/succession, apart from the sockets

Need: relay/pass.go decided beside its sockets what may pass, whose it is after an answer, and when the rest is moved.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -1,6 +1,6 @@
 // Package loop runs everything on one goroutine: an edge-triggered epoll loop over numbered slots, one heap of all
-// deadlines, stream sockets with gathered writes, and packets with descriptors
-// beside them between processes of one user. It knows no protocol.
+// deadlines, stream sockets with gathered writes, and packets with descriptors beside them between processes of one
+// user. It knows no protocol.
 package loop
 
 import (
--- a/internal/relay/pass.go
+++ b/internal/relay/pass.go
@@ -3,6 +3,7 @@
 import (
 	"golang.org/x/sys/unix"
 
+	"spurspread/decide/succession"
 	"spurspread/internal/handover"
 	"spurspread/internal/line"
 	"spurspread/internal/logs"
@@ -10,64 +11,74 @@
 	"spurspread/logic"
 )
 
-const (
-	passTime   = 500 * ms // what could not pass within this span, or half the longest deadline, is moved
-	passWindow = 32       // offered at once, each with two descriptors that both processes hold meanwhile
-)
-
-// passer offers standing connections to the successor. A connection that is offered is frozen: nobody reads it until
-// the successor has said yes, and has it, or no.
+// passer carries out what the plan says of passing standing connections to the successor. A connection that is offered is
+// frozen: nobody reads it until the successor has said yes, and has it, or no.
 type passer struct {
-	r       *Relay
-	link    *loop.Packets // nil once it has ended
-	offered map[loop.Ref]*session
-	done    bool // the rest is being moved
+	r    *Relay
+	plan *succession.Plan
+	link *loop.Packets
+	next []*session // still to be looked at in this round
 }
 
 // pass offers all that stands to the process that listens at the path, and moves the rest.
 func (r *Relay) pass(path string, pid int) {
-	p := &passer{r: r, offered: map[loop.Ref]*session{}}
-	link, err := r.l.DialPackets(path, pid, p)
-	if err != nil {
+	p := &passer{r: r, plan: succession.New(r.l.Now(), r.longest())}
+	var err error
+	if p.link, err = r.l.DialPackets(path, pid, p); err != nil {
 		r.log.WithError(err).Info("the successor takes no standing connections: moving them")
 		r.moveStanding(r.longest())
 		return
 	}
-	p.link, r.drain.passer = link, p
+	r.drain.passer = p
 	p.offerAll()
-	r.l.After(min(passTime, r.longest()/2), p.rest)
+	r.l.After(p.plan.Until()-r.l.Now(), p.rest)
 }
 
-// offerAll offers what can pass now, as far as the window allows, and looks again soon: a line that was under way ends.
+// offerAll offers what can pass now, and looks again soon: a line that was under way ends.
 func (p *passer) offerAll() {
-	if p.done {
+	if p.plan.Moving() {
 		return
 	}
 	p.r.l.After(drainLook, p.offerAll)
+	if len(p.next) == 0 {
+		for _, s := range p.r.sessions.All {
+			p.next = append(p.next, s)
+		}
+	}
 	p.fill()
 }
 
+// fill goes on with the round as far as the plan has room, so that a round looks at each connection once.
 func (p *passer) fill() {
-	for _, s := range p.r.sessions.All {
-		if len(p.offered) >= passWindow || p.link == nil {
-			return
-		}
+	for len(p.next) > 0 && p.plan.Room() {
+		s := p.next[0]
+		p.next = p.next[1:]
 		p.offer(s)
 	}
 }
 
-// offer offers one connection, and tells whether it did. It has to stand between two lines in both directions with
-// nothing kept back, on sockets of its own, and its client must not have a token: who has one is moved with it.
+// offer offers one connection, if the plan says so, and tells whether it did.
 func (p *passer) offer(s *session) bool {
-	if p.link == nil || s.phase != open || s.moving || s.refused || s.stalled || s.stream != nil ||
-		!s.up.Between() || !s.down.Between() {
+	if s.phase != open {
 		return false
 	}
-	d, ok := s.in.(*door)
+	d, single := s.in.(*door)
 	out, own := s.hop.out.(*loop.Conn)
-	if !ok || !own || s.hop.trunk != nil || d.conn.Pending() > 0 || out.Pending() > 0 {
+	if !p.plan.Offer(uint32(s.ref), succession.Look{Between: s.up.Between() && s.down.Between(), Own: single && own,
+		Clear: s.in.Pending() == 0 && s.hop.out.Pending() == 0 && !s.stalled, Bound: s.moving || s.stream != nil}) {
+		return false
+	}
+	packet, err := s.described().Encode()
+	if err != nil || len(packet) > loop.MaxPacket || p.link.Send(packet, d.conn, out) != nil {
+		p.plan.Unsent(uint32(s.ref))
 		return false
 	}
+	s.phase = passing
+	return true
+}
+
+// described is what the successor is told of a connection that stands.
+func (s *session) described() handover.Standing {
 	now := s.r.l.Now()
 	st := handover.Standing{Ref: uint32(s.ref), ID: s.first.ID, Key: s.first.Key, Group: s.first.Group,
 		Class: s.classes[s.class], Hint: s.first.Hint, HasHint: s.first.HasHint, Retry: s.first.Retry,
@@ -75,48 +86,40 @@
 	for _, at := range s.waiting {
 		st.Waiting = append(st.Waiting, max(now-at, 0))
 	}
-	packet, err := st.Encode()
-	if err != nil || len(packet) > loop.MaxPacket || p.link.Send(packet, d.conn, out) != nil {
-		return false // its turn may come again
-	}
-	s.phase, p.offered[s.ref] = passing, s
-	return true
+	return st
 }
 
 // Packet is part of loop.PacketOwner: the successor's answer.
 func (p *passer) Packet(_ *loop.Packets, b []byte, fds []int) {
-	for _, fd := range fds {
-		_ = unix.Close(fd) // none are wanted
-	}
+	closeAll(fds) // none are wanted
 	ref, taken, err := handover.ParseAnswer(b)
-	s := p.offered[loop.Ref(ref)]
-	if err != nil || s == nil {
+	s, _ := p.r.sessions.Get(loop.Ref(ref))
+	switch {
+	case err != nil || !p.plan.Answer(ref, taken):
 		p.r.log.WithError(err).Warn("the successor's answer makes no sense")
 		p.link.Shut()
 		return
-	}
-	delete(p.offered, s.ref)
-	if taken {
+	case taken:
 		p.r.counts.passed++
 		s.in.(*door).conn.Release()
 		s.hop.out.(*loop.Conn).Release()
 		s.phase = open
 		s.close()
-	} else {
+	default:
 		p.keep(s)
 	}
-	if !p.done {
+	if !p.plan.Moving() {
 		p.fill()
 	}
 }
 
 // keep takes a connection back that the successor does not have.
 func (p *passer) keep(s *session) {
-	s.phase, s.refused = open, true
+	s.phase = open
 	if s.Readable(); s.phase == open {
 		s.hop.read()
 	}
-	if p.done {
+	if p.plan.Moving() {
 		s.leave(logic.Cancelled, true)
 	}
 }
@@ -124,30 +127,34 @@
 // Ended is part of loop.PacketOwner. The successor says yes before it has a connection: what has no yes is ours.
 func (p *passer) Ended(link *loop.Packets) {
 	link.Close()
-	p.link = nil
-	for _, s := range p.r.sessions.All {
-		if p.offered[s.ref] == s {
+	for _, ref := range p.plan.Ended() {
+		if s, ok := p.r.sessions.Get(loop.Ref(ref)); ok {
 			p.keep(s)
 		}
 	}
-	clear(p.offered)
 	p.rest()
 }
 
 // rest moves what did not pass.
 func (p *passer) rest() {
-	if p.done {
+	move, cut := p.plan.Rest(p.r.l.Now())
+	if !move {
 		return
 	}
-	p.done = true
-	if len(p.offered) > 0 {
-		p.link.Shut() // no answer in all this time: what is still answered counts, then Ended takes the rest back
+	if cut {
+		p.link.Shut() // what is still answered counts, then Ended takes the rest back
 	}
 	p.r.log.WithField(logs.Passed, p.r.counts.passed).WithField(logs.Standing, p.r.sessions.Len()).
 		Info("passed standing connections to the successor")
 	p.r.moveStanding(p.r.longest())
 }
 
+func closeAll(fds []int) {
+	for _, fd := range fds {
+		_ = unix.Close(fd)
+	}
+}
+
 // TakeOver listens at the path for connections that an older process passes on when it ends.
 func (r *Relay) TakeOver(path string) error {
 	_, err := r.l.ListenPackets(path, func(*loop.Packets) loop.PacketOwner { return taker{r} })
@@ -163,14 +170,14 @@
 // Packet is part of loop.PacketOwner: one standing connection.
 func (t taker) Packet(link *loop.Packets, b []byte, fds []int) {
 	st, err := handover.DecodeStanding(b)
-	if err != nil || len(fds) != 2 || t.r.drain.on || t.r.tight() || t.r.table.ByID([]byte(st.Target)) == nil ||
-		!t.r.ids.take(st.ID) {
-		for _, fd := range fds {
-			_ = unix.Close(fd)
-		}
+	r := t.r
+	if err != nil || !succession.Take(succession.Arrival{Sockets: len(fds), Known: r.table.ByID([]byte(st.Target)) != nil,
+		New: !r.ids.known(st.ID), Leaving: r.drain.on, Shortage: r.tight()}) {
+		closeAll(fds)
 		_ = link.Send(handover.Answer(st.Ref, false))
 		return
 	}
+	r.ids.take(st.ID)
 	s := t.r.admit(st, fds)
 	if s == nil || link.Send(handover.Answer(st.Ref, true)) != nil {
 		t.r.ids.leave(st.ID)
--- a/internal/relay/pass_test.go
+++ b/internal/relay/pass_test.go
@@ -183,7 +183,7 @@
 			g.handOver(path, pid)
 			if c.then != "" {
 				for done := false; !done; { // all the while it is looked at, and can't pass
-					g.inLoop(func() { done = g.r.drain.passer != nil && g.r.drain.passer.done })
+					g.inLoop(func() { done = g.r.drain.passer != nil && g.r.drain.passer.plan.Moving() })
 				}
 				target.say(c.then)
 				client.want(c.then)
@@ -212,7 +212,7 @@
 	for offered := 0; offered == 0; {
 		g.inLoop(func() {
 			if p := g.r.drain.passer; p != nil {
-				offered = len(p.offered)
+				offered = map[bool]int{true: 1}[g.only().phase == passing]
 			}
 		})
 	}
@@ -316,6 +316,28 @@
 	}
 	target.say("still there\r\n")
 	client.want("still there\r\n")
+	for _, want := range []string{"+9", "-9"} { // a second one of the same id is not new
+		g.inLoop(func() {
+			s := g.only()
+			g.check(link.Send(packet, s.in.(*door).conn, s.hop.out.(*loop.Conn)))
+		})
+		if got := <-answers; got != want {
+			t.Errorf("%q, want %q", got, want)
+		}
+	}
+}
+
+// Who takes tokens is moved with one, and does not pass: the successor would know nothing of its stream.
+func TestTokensDoNotPass(t *testing.T) {
+	g := resumeRig(t, nil)
+	_, path := g.successor()
+	client, _ := g.standing()
+	g.handOver(path, os.Getpid())
+	client.moved()
+	g.stops()
+	if g.r.counts.passed != 0 {
+		t.Errorf("%d passed", g.r.counts.passed)
+	}
 }
 
 type hearing chan string
--- a/internal/relay/room.go
+++ b/internal/relay/room.go
@@ -90,9 +90,15 @@
 
 func newIDs() ids { return ids{seen: map[uint64]bool{}, past: make([]uint64, 0, manyIDs)} }
 
+// known tells whether the request is there, or was among the last.
+func (i *ids) known(id uint64) bool {
+	_, known := i.seen[id]
+	return known
+}
+
 // take notes a new id. It returns false for one that is known.
 func (i *ids) take(id uint64) bool {
-	if _, known := i.seen[id]; known {
+	if i.known(id) {
 		return false
 	}
 	i.seen[id] = true
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -84,7 +84,6 @@
 	verdict  logic.Status // what the target's last words make of its end
 	stalled  bool         // its client does not read, and so its target is not read either
 	moving   bool         // moved as soon as the line under way has ended
-	refused  bool         // the successor does not take it
 	kept     keeper       // of lines, where only whole ones are passed on
 	stream   *stream      // of a client that takes tokens
 }
