--- a/cmd/spurspread/upgrade_test.go
+++ b/cmd/spurspread/upgrade_test.go
@@ -12,51 +12,9 @@
 	"time"
 
 	"golang.org/x/sys/unix"
-)
-
-// indexNode serves every connection that comes: UP for the first line, and each further line back as it came. It counts
-// how often each id asked.
-type indexNode struct {
-	mu    sync.Mutex
-	asked map[string]int
-}
 
-func (n *indexNode) serve(ln *net.TCPListener) {
-	for {
-		c, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			defer func() { _ = c.Close() }()
-			in := bufio.NewReader(c)
-			first, err := in.ReadString('\n')
-			if fields := strings.Fields(first); err == nil && len(fields) > 1 {
-				n.mu.Lock()
-				n.asked[fields[1]]++
-				n.mu.Unlock()
-			}
-			_, _ = c.Write([]byte("UP r1\r\n"))
-			for err == nil {
-				var text string
-				if text, err = in.ReadString('\n'); err == nil {
-					_, err = c.Write([]byte(text))
-				}
-			}
-		}()
-	}
-}
-
-// times is how often each of the first ids asked.
-func (n *indexNode) times(ids int) []int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	times := make([]int, ids)
-	for i := range times {
-		times[i] = n.asked[fmt.Sprintf("%08x", i)]
-	}
-	return times
-}
+	"spurspread/lab/echo"
+)
 
 // stream is a client that stands; it says a line and waits until that has come back, over and over.
 type stream struct {
@@ -96,7 +54,9 @@
 // meanwhile is answered, by one process or the other.
 func TestUpgradeUnderLoad(t *testing.T) {
 	const standing = 24
-	node, discovery, clients := &indexNode{asked: map[string]int{}}, listener(t), freePort(t)
+	discovery, clients := listener(t), freePort(t)
+	var asked sync.Map // ids, of those that asked after the upgrade began
+	var counting atomic.Bool
 	path := env(t, "127.0.0.1:8081", clients)("GW_CONFIG")
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -106,7 +66,11 @@
 	for _, at := range []string{"127.0.0.1:9001", "127.0.0.1:9002"} {
 		ln := listener(t)
 		_ = ln.SetDeadline(time.Time{})
-		go node.serve(ln)
+		go echo.Serve(ln, func(first string) {
+			if counting.Load() {
+				asked.Store(strings.Fields(first)[1], true)
+			}
+		})
 		changed = strings.Replace(changed, at, ln.Addr().String(), 1)
 	}
 	if err := os.WriteFile(path, []byte(changed), 0o600); err != nil {
@@ -117,12 +81,12 @@
 	var streams []*stream
 	for i := range standing {
 		s, answer, err := open(clients, i)
-		if answer != "UP r1\r\n" {
+		if answer != "UP 1\r\n" {
 			t.Fatalf("stream %d: %q, %v", i, answer, err)
 		}
 		streams = append(streams, s)
 	}
-	asked := node.times(standing)
+	counting.Store(true)
 	var stop atomic.Bool
 	var rounds atomic.Int64
 	var load sync.WaitGroup
@@ -141,7 +105,7 @@
 	load.Go(func() {
 		for id := 1000; !stop.Load(); id++ {
 			s, answer, err := open(clients, id)
-			if answer != "UP r1\r\n" && !strings.HasPrefix(answer, "BUSY") {
+			if answer != "UP 1\r\n" && !strings.HasPrefix(answer, "BUSY") {
 				t.Errorf("a client that came meanwhile: %q, %v", answer, err)
 			}
 			if s != nil {
@@ -164,9 +128,9 @@
 	stop.Store(true)
 	load.Wait()
 	t.Logf("%d rounds, %d clients came", rounds.Load(), came)
-	for id, n := range node.times(standing) {
-		if n != asked[id] {
-			t.Errorf("stream %d asked again", id)
+	for i := range standing {
+		if _, again := asked.Load(fmt.Sprintf("%08x", i)); again {
+			t.Errorf("stream %d asked again", i)
 		}
 	}
 	// They are the new one's now: it moves them all when it goes.
--- a/lab/pump/pump.go
+++ b/lab/pump/pump.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"spurspread/lab/echo"
 	"spurspread/lab/sshchan"
 	"spurspread/lab/world"
 )
@@ -41,7 +42,7 @@
 		return Sample{}, err
 	}
 	defer func() { _ = ln.Close() }()
-	go echo(ln)
+	go echo.Serve(ln, nil)
 	b, err := world.Alone(program, dir, ln.Addr().String(), channels)
 	if err != nil {
 		return Sample{}, err
@@ -90,59 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return sshchan.Client(c, window)
-}
-
-const window = 64 << 10
-
-// echo is a node that sends back each line.
-func echo(ln net.Listener) {
-	for {
-		c, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			defer func() { _ = c.Close() }()
-			rd := bufio.NewReaderSize(c, window)
-			head, _ := rd.Peek(4)
-			if string(head) != "SSH-" {
-				echoLines(rd, c, true)
-				return
-			}
-			if _, err := rd.ReadString('\n'); err != nil {
-				return
-			}
-			t, err := sshchan.Server(c, rd, window)
-			if err != nil {
-				return
-			}
-			for ch := t.Accept(); ch != nil; ch = t.Accept() {
-				if ch.Confirm("UP 1") != nil {
-					return
-				}
-				go echoLines(bufio.NewReader(ch), ch, false)
-			}
-		}()
-	}
-}
-
-func echoLines(rd *bufio.Reader, w io.Writer, first bool) {
-	for ; ; first = false {
-		text, err := rd.ReadSlice('\n')
-		if err != nil {
-			return
-		}
-		switch {
-		case first && string(text) == "PING\r\n":
-			text = []byte("PONG\r\n")
-		case first:
-			text = []byte("UP 1\r\n")
-		}
-		if _, err := w.Write(text); err != nil {
-			return
-		}
-	}
+	return sshchan.Client(c, echo.Window)
 }
 
 func pump(addr string, over *sshchan.Conn, i int, up *sync.WaitGroup, begin, stop chan struct{}, lines *atomic.Int64) error {
