Start a new version from what discovery told the old one, kept under TMPDIR

Need: a new version began with the list of its configuration, which may be old, and learned of drains only once discovery had answered. Now a process keeps the list as discovery last told it in a versioned file, off the loop, and a new one goes on from it where the writer lives, serves the same address, hears the same discovery, and the generation is newer.

--- a/cmd/spurspread/serve.go
+++ b/cmd/spurspread/serve.go
@@ -69,10 +69,15 @@
 	if err != nil {
 		return err
 	}
+	c.inherit(&cfg, log)
+	lists := newLists(log)
+	defer lists.close()
+	cfg.Keep = lists.keep
 	r, err := relay.New(l, cfg, log)
 	if err != nil {
 		return errors.Join(err, l.Close())
 	}
+	lists.start(r.Addr())
 	if lim.mgmt.IsValid() {
 		if _, err := mgmt.Listen(l, lim.mgmt, r.Manage); err != nil {
 			return errors.Join(err, l.Close())
@@ -113,15 +118,17 @@
 // successor is the other process that serves on the same clients' address, by its hand-over note; 0 where there is none.
 func successor(path string, listen netip.AddrPort) int {
 	n, err := handover.Read(path)
-	if err != nil || !handover.Succeeded(n, os.Getpid(), listen, func(pid int) bool {
-		err := unix.Kill(pid, 0)
-		return err == nil || errors.Is(err, unix.EPERM)
-	}) {
+	if err != nil || !handover.Succeeded(n, os.Getpid(), listen, alive) {
 		return 0
 	}
 	return n.PID
 }
 
+func alive(pid int) bool {
+	err := unix.Kill(pid, 0)
+	return err == nil || errors.Is(err, unix.EPERM)
+}
+
 // reload reads all files again, outside the loop. What can't be used changes nothing.
 func (c *serve) reload(getenv func(string) string, l *loop.Loop, r *relay.Relay, log *logrus.Logger) {
 	cfg, lim, err := c.read(getenv)
--- a/cmd/spurspread/upgrade_test.go
+++ b/cmd/spurspread/upgrade_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"strings"
 	"sync"
@@ -13,6 +14,8 @@
 
 	"golang.org/x/sys/unix"
 
+	"spurspread/internal/handover"
+	"spurspread/lab/discovery"
 	"spurspread/lab/echo"
 )
 
@@ -54,7 +57,7 @@
 // meanwhile is answered, by one process or the other.
 func TestUpgradeUnderLoad(t *testing.T) {
 	const standing = 24
-	discovery, clients := listener(t), freePort(t)
+	silent, clients := listener(t), freePort(t)
 	var asked sync.Map // ids, of those that asked after the upgrade began
 	var counting atomic.Bool
 	path := env(t, "127.0.0.1:8081", clients)("GW_CONFIG")
@@ -62,7 +65,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	changed := strings.Replace(string(text), "127.0.0.1:8500", discovery.Addr().String(), 1)
+	changed := strings.Replace(string(text), "127.0.0.1:8500", silent.Addr().String(), 1)
 	for _, at := range []string{"127.0.0.1:9001", "127.0.0.1:9002"} {
 		ln := listener(t)
 		_ = ln.SetDeadline(time.Time{})
@@ -147,3 +150,74 @@
 		t.Errorf("the new one ended with %v", err)
 	}
 }
+
+// A new version that starts while discovery is down goes on from what the old one heard, and not from the older list in its
+// configuration: nothing new goes to a server that drains.
+func TestNewVersionKnowsWhatDiscoveryTold(t *testing.T) {
+	told, err := discovery.Start(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	clients := freePort(t)
+	path := env(t, "127.0.0.1:8081", clients)("GW_CONFIG")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := strings.Replace(string(text), "127.0.0.1:8500", told.Addr(), 1)
+	var asked [2]atomic.Int64
+	for i, at := range []string{"127.0.0.1:9002", "127.0.0.1:9001"} { // the configuration's list is of generation 1
+		ln := listener(t)
+		_ = ln.SetDeadline(time.Time{})
+		go echo.Serve(ln, func(first string) {
+			if strings.HasPrefix(first, "OPEN") {
+				asked[i].Add(1)
+			}
+		})
+		changed = strings.Replace(changed, at, ln.Addr().String(), 1)
+		told.Set(discovery.Entry{ID: fmt.Sprint("toy-", 2-i), Addr: ln.Addr().String(), Zone: "here", Machine: "toy",
+			Lifecycle: []string{discovery.Ready, discovery.Terminating}[i], Weight: 1})
+	}
+	if err := os.WriteFile(path, []byte(changed), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	old := start(t, "GW_CONFIG="+path, "TMPDIR="+dir)
+	kept := handover.ListPath(dir, netip.MustParseAddrPort(clients))
+	for until := time.Now().Add(30 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if l, err := handover.ReadList(kept); err == nil && strings.Contains(string(l.List), discovery.Terminating) {
+			break
+		} else if time.Now().After(until) {
+			t.Fatalf("nothing was kept: %v", err)
+		}
+	}
+	if err := told.Close(); err != nil {
+		t.Fatal(err)
+	}
+	next := start(t, "GW_CONFIG="+path, "TMPDIR="+dir)
+	if err := old.cmd.Process.Signal(unix.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := old.cmd.Wait(); err != nil {
+		t.Errorf("the old one ended with %v", err)
+	}
+	for i := range 16 {
+		s, answer, err := open(clients, i)
+		if answer != "UP 1\r\n" {
+			t.Fatalf("client %d: %q, %v", i, answer, err)
+		}
+		_ = s.c.Close()
+	}
+	if asked[1].Load() != 0 || asked[0].Load() < 16 {
+		t.Errorf("%d went to the server that drains, %d to the other", asked[1].Load(), asked[0].Load())
+	}
+	if err := next.cmd.Process.Signal(unix.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := next.cmd.Wait(); err != nil {
+		t.Errorf("the new one ended with %v", err)
+	}
+	if left, _ := os.ReadDir(dir); len(left) != 0 {
+		t.Errorf("left behind: %v", left)
+	}
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -37,13 +37,18 @@
 	return filepath.Join(dir, fmt.Sprintf("spurspread-%s.v%d.json", name, Version))
 }
 
-// Write puts the note in place whole: it is written beside the file and renamed over it, so a reader sees the old
-// note or the new one, never part of one.
+// Write puts the note in place whole.
 func Write(path string, n Note) error {
 	n.Version = Version
-	text, err := json.Marshal(n)
+	return write(path, n)
+}
+
+// write puts a value in place whole: it is written beside the file and renamed over it, so a reader sees the old value or
+// the new one, never part of one.
+func write(path string, v any) error {
+	text, err := json.Marshal(v)
 	if err != nil {
-		return err
+		return fmt.Errorf("hand-over: %w", err)
 	}
 	f, err := os.CreateTemp(filepath.Dir(path), ".spurspread-handover-*")
 	if err != nil {
@@ -63,27 +68,39 @@
 // Read reads a note strictly: of this version, with no field unknown, and bounded in size.
 func Read(path string) (Note, error) {
 	var n Note
+	if err := read(path, maxNote, &n); err != nil {
+		return n, err
+	}
+	return n, known(path, n.Version)
+}
+
+func known(path string, version int) error {
+	if version != Version {
+		return fmt.Errorf("hand-over: %s is of version %d, not %d", path, version, Version)
+	}
+	return nil
+}
+
+// read reads a value of most bytes strictly.
+func read(path string, most int64, v any) error {
 	f, err := os.Open(path)
 	if err != nil {
-		return n, err
+		return err
 	}
 	defer func() { _ = f.Close() }()
-	text, err := io.ReadAll(io.LimitReader(f, maxNote+1))
+	text, err := io.ReadAll(io.LimitReader(f, most+1))
 	if err != nil {
-		return n, err
+		return err
 	}
-	if len(text) > maxNote {
-		return n, fmt.Errorf("hand-over: %s has over %d bytes", path, maxNote)
+	if int64(len(text)) > most {
+		return fmt.Errorf("hand-over: %s has over %d bytes", path, most)
 	}
 	d := json.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields()
-	if err := d.Decode(&n); err != nil {
-		return n, fmt.Errorf("hand-over: %s: %w", path, err)
+	if err := d.Decode(v); err != nil {
+		return fmt.Errorf("hand-over: %s: %w", path, err)
 	}
-	if n.Version != Version {
-		return n, fmt.Errorf("hand-over: %s is of version %d, not %d", path, n.Version, Version)
-	}
-	return n, nil
+	return nil
 }
 
 // Succeeded tells whether the note names another process, still alive, that serves on the same address: then this one
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -30,7 +30,9 @@
 	Descriptors       int    // how many the process may hold
 	Memory            int64  // bytes that it may use; 0 where not told, as above
 	Resume            *Resume
-	Channels          *Channels
+	// Keep, if set, is given what discovery has told, whole, some time after a change of it. It must not wait.
+	Keep     func(discovery netip.AddrPort, list []byte)
+	Channels *Channels
 }
 
 const (
@@ -74,6 +76,7 @@
 	sized      int // for so many it was last fitted to the memory
 	counts     counts
 	drain      drain
+	keeping    bool // the list is to be kept soon
 	resumption resumption
 }
 
@@ -214,6 +217,18 @@
 		s.resume()
 	}
 	r.evacuate(c)
+	if r.cfg.Keep != nil && !r.keeping {
+		r.keeping = true
+		r.l.After(keepAfter, r.keepList)
+	}
+}
+
+// keepList gives away what discovery has told.
+func (r *Relay) keepList() {
+	r.keeping = false
+	if at, whole := r.discovery.Whole(); whole != nil {
+		r.cfg.Keep(at, whole)
+	}
 }
 
 // Failed is part of route.Watcher.
@@ -268,6 +283,7 @@
 const (
 	sweepEvery  = 200 * ms
 	reportEvery = 5 * sec
+	keepAfter   = 200 * ms // changes mostly come together
 )
 
 func (r *Relay) report() {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"strconv"
 	"strings"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"spurspread/internal/line"
 	"spurspread/internal/loop"
+	"spurspread/internal/route"
 	"spurspread/logic"
 )
 
@@ -560,3 +562,44 @@
 		}
 	}
 }
+
+// What discovery told is given away once for changes that come together, whole, without what is gone, and under the address
+// that told it; after a move not until the new address has answered.
+func TestListIsKept(t *testing.T) {
+	kept := make(chan string, 10)
+	g := newRig(t, 2, to, func(cfg *Config) {
+		cfg.Keep = func(at netip.AddrPort, list []byte) { kept <- at.String() + " " + string(list) }
+	})
+	var at string
+	g.inLoop(func() {
+		at = g.r.cfg.Discovery.String()
+		for _, entries := range []string{listed("s0", "127.0.0.1:2", "Terminating"),
+			`{"instanceId":"s1","lifecycle":"Gone"},` + listed("s2", "127.0.0.1:1", "Ready")} {
+			c, err := g.r.table.Apply([]byte(`{"generation":9,"instances":[` + entries + `]}`))
+			g.check(err)
+			g.r.Listed(c)
+		}
+	})
+	got := <-kept
+	again := route.NewTable()
+	c, err := again.Apply([]byte(strings.TrimPrefix(got, at+" ")))
+	if err != nil || !c.Whole || len(c.Targets) != 2 {
+		t.Fatalf("%q: %+v, %v", got, c, err)
+	}
+	g.inLoop(func() {
+		for _, want := range c.Targets {
+			have := *g.r.table.ByID([]byte(want.ID))
+			have.Num = want.Num
+			if have != *want {
+				t.Errorf("%+v, want %+v", *want, have)
+			}
+		}
+		g.r.discovery.Move(g.r.cfg.Discovery)
+		g.r.Listed(route.Change{})
+		g.r.keepList()
+	})
+	g.inLoop(func() {})
+	if len(kept) != 0 {
+		t.Errorf("%q", <-kept)
+	}
+}
--- a/internal/route/discovery.go
+++ b/internal/route/discovery.go
@@ -60,6 +60,15 @@
 	return c, err
 }
 
+// Whole is the table as discovery last told it, in discovery's own form, and the address at which that is told. It is nil
+// after a move until the new address has answered: whose generation it would have is not known.
+func (d *Discovery) Whole() (netip.AddrPort, []byte) {
+	if d.foreign {
+		return d.addr, nil
+	}
+	return d.addr, d.table.Whole(d.generation)
+}
+
 // Watch subscribes to changes. Asked again, the old watch stays until the new one has answered, so that no change
 // falls between them.
 func (d *Discovery) Watch() {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -29,6 +29,11 @@
 	if s1, s2 := tab.ByID([]byte("s1")), tab.ByNum(1); *s1 != want || s2.State != Terminating || s2.Addr.IsValid() {
 		t.Errorf("%+v, %+v", s1, s2)
 	}
+	again := NewTable()
+	if c, err := again.Apply(tab.Whole(41)); err != nil || !c.Whole || c.Generation != 41 || *again.ByNum(0) != want ||
+		*again.ByNum(1) != *tab.ByNum(1) {
+		t.Errorf("there and back: %s, %v", tab.Whole(41), err)
+	}
 	if _, err = tab.Apply([]byte(`{"generation":42,"reset":true,"instances":[` + one + `]}`)); err != nil ||
 		tab.ByNum(1).State != Gone || tab.ByNum(0).State != Ready || tab.ByNum(2) != nil {
 		t.Errorf("a whole list removes what it lacks: %+v, %v", tab.ByNum(1), err)
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -2,6 +2,7 @@
 package route
 
 import (
+	"encoding/json"
 	"errors"
 	"net/netip"
 
@@ -98,6 +99,42 @@
 	return c, nil
 }
 
+// listed is a target in discovery's own form.
+type listed struct {
+	InstanceID  string  `json:"instanceId"`
+	HostPort    string  `json:"hostPort"`
+	Zone        string  `json:"zone"`
+	MachineType string  `json:"machineType"`
+	Cell        uint16  `json:"cell"`
+	Lifecycle   string  `json:"lifecycle"`
+	Weight      float64 `json:"weight"`
+	StartedAtMs int64   `json:"startedAtMs"`
+}
+
+var lifecycles = map[State]string{Ready: "Ready", Terminating: "Terminating"}
+
+// Whole is the table as discovery would list it at a generation, without what is gone.
+func (t *Table) Whole(generation uint64) []byte {
+	list := struct {
+		Generation uint64   `json:"generation"`
+		Reset      bool     `json:"reset"`
+		Instances  []listed `json:"instances"`
+	}{generation, true, []listed{}}
+	for _, at := range t.targets {
+		if at.State == Gone {
+			continue
+		}
+		addr := ""
+		if at.Addr.IsValid() {
+			addr = at.Addr.String()
+		}
+		list.Instances = append(list.Instances, listed{at.ID, addr, at.Zone, at.Machine, at.Cell, lifecycles[at.State], at.Weight,
+			at.StartedMillis})
+	}
+	text, _ := json.Marshal(list) // of these types it can't fail
+	return text
+}
+
 // generation reads the version that an object of discovery's brings.
 func generation(text []byte) (uint64, error) {
 	g := gjson.GetBytes(text, "generation")
