Test retune in the running program with each kind of broken file, the old rules acting

Nine kinds; each file also renames the class, so that one taken in part would show: the old class is still served, the file's is not, and one log line names file and fault. A good file after them is taken whole, and what stands goes on. Fails when reload goes on after an error, and when 0 is let through. The program's tests share their set-up now.

--- a/cmd/spurspread/main_test.go
+++ b/cmd/spurspread/main_test.go
@@ -16,6 +16,7 @@
 
 	"spurspread/internal/site"
 	"spurspread/internal/token"
+	"spurspread/lab/echo"
 )
 
 const example = "../../example/config.json"
@@ -38,6 +39,38 @@
 	return func(name string) string { return map[string]string{"GW_CONFIG": path}[name] }
 }
 
+// configured writes the example with pairs of texts replaced, and returns its path and text.
+func configured(t *testing.T, pairs ...string) (path, text string) {
+	t.Helper()
+	path = env(t, "", "")("GW_CONFIG")
+	was, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text = strings.NewReplacer(pairs...).Replace(string(was))
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path, text
+}
+
+// nodes are index nodes in place of the example's, and the pairs that put them there; asked hears of each first line, with
+// the node's number.
+func nodes(t *testing.T, asked func(node int, first string)) (pairs []string) {
+	t.Helper()
+	for i, at := range []string{"127.0.0.1:9001", "127.0.0.1:9002"} {
+		ln := listener(t)
+		_ = ln.SetDeadline(time.Time{})
+		go echo.Serve(ln, func(first string) {
+			if asked != nil && strings.HasPrefix(first, "OPEN ") {
+				asked(i, first)
+			}
+		})
+		pairs = append(pairs, at, ln.Addr().String())
+	}
+	return pairs
+}
+
 // withMgmt adds $GW_MGMT to what getenv tells.
 func withMgmt(getenv func(string) string, addr string) func(string) string {
 	return func(name string) string {
@@ -290,15 +323,16 @@
 	return p
 }
 
-// logged reads the log until a line says what; the process must not end before.
-func (p *process) logged(what string) {
+// logged reads the log until a line says what, and returns it; the process must not end before.
+func (p *process) logged(what string) string {
 	p.t.Helper()
 	for p.log.Scan() {
 		if strings.Contains(p.log.Text(), what) {
-			return
+			return p.log.Text()
 		}
 	}
 	p.t.Fatalf("the program ended without logging %q", what)
+	return ""
 }
 
 // say sends one line to addr and returns the line that answers it, or what went wrong.
@@ -351,15 +385,7 @@
 func TestNewVersionBesideTheOld(t *testing.T) {
 	for _, kill := range []bool{false, true} {
 		clients, discovery := freePort(t), listener(t)
-		path := env(t, "127.0.0.1:8081", clients)("GW_CONFIG")
-		text, err := os.ReadFile(path)
-		if err != nil {
-			t.Fatal(err)
-		}
-		text = []byte(strings.Replace(string(text), "127.0.0.1:8500", discovery.Addr().String(), 1))
-		if err := os.WriteFile(path, text, 0o600); err != nil {
-			t.Fatal(err)
-		}
+		path, _ := configured(t, "127.0.0.1:8081", clients, "127.0.0.1:8500", discovery.Addr().String())
 		tmp := t.TempDir()
 		oldMgmt, newMgmt := freePort(t), freePort(t)
 		old := start(t, "GW_CONFIG="+path, "GW_MGMT="+oldMgmt, "TMPDIR="+tmp)
--- /dev/null
+++ b/cmd/spurspread/retune_test.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"golang.org/x/sys/unix"
+)
+
+// Whatever is wrong with a file at SIGHUP, the old settings stay whole, and are seen to act; one line names the file and the
+// fault. A good file after them is taken whole, and what stands goes on.
+func TestRetune(t *testing.T) {
+	clients, silent := freePort(t), listener(t)
+	path, good := configured(t, append(nodes(t, nil), "127.0.0.1:8081", clients, "127.0.0.1:8500", silent.Addr().String())...)
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p := start(t, "GW_CONFIG="+path, "TMPDIR="+t.TempDir())
+	id := 0
+	answer := func(class string) string {
+		id++
+		s, got, _ := open(clients, class, id)
+		if s != nil {
+			_ = s.c.Close()
+		}
+		return got
+	}
+	standing, got, err := open(clients, "index-sync", id)
+	if got != "UP 1\r\n" {
+		t.Fatalf("%q, %v", got, err)
+	}
+	// Each of these files has the class renamed, too: taken in part, it would show.
+	renamed := strings.Replace(good, `"index-sync"`, `"renamed"`, 1)
+	for _, c := range []struct{ name, text, fault string }{
+		{"empty", "", "is not a JSON object"},
+		{"cut off", renamed[:len(renamed)*3/4], "is not a JSON object"},
+		{"no object", "[" + renamed + "]", "is not a JSON object"},
+		{"a key missing", strings.Replace(renamed, `"drain_grace"`, `"grace"`, 1), "rules.drain_grace: missing"},
+		{"no classes", strings.Replace(renamed, `"request_classes"`, `"classes"`, 1), "request_classes"},
+		{"a deadline of 0", strings.Replace(renamed, `"deadline": 1200000`, `"deadline": 0`, 1), "deadline: 0 is not over 0"},
+		{"a deadline below 0", strings.Replace(renamed, `"deadline": 1200000`, `"deadline": -1`, 1), "deadline"},
+		{"no attempts", strings.Replace(renamed, `"most_tries": 4`, `"most_tries": 0`, 1), "most_tries: 0 is not over 0"},
+		{"an unknown effect", strings.Replace(renamed, `"read_like"`, `"sometimes"`, 1), "request_classes.0.effect"},
+	} {
+		if c.text == renamed {
+			t.Fatalf("%s: nothing is wrong with it", c.name)
+		}
+		write(c.text)
+		if err := p.cmd.Process.Signal(unix.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		if said := p.logged("stay as they were, whole"); !strings.Contains(said, c.fault) || !strings.Contains(said, path) {
+			t.Errorf("%s: the log says %q", c.name, said)
+		}
+		if old, fresh := answer("index-sync"), answer("renamed"); old != "UP 1\r\n" || fresh != "ERR\r\n" {
+			t.Errorf("%s: the old class is answered %q, the file's %q", c.name, old, fresh)
+		}
+	}
+	write(renamed)
+	if err := p.cmd.Process.Signal(unix.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	p.logged("settings retuned")
+	if old, fresh := answer("index-sync"), answer("renamed"); old != "ERR\r\n" || fresh != "UP 1\r\n" {
+		t.Errorf("retuned: the old class is answered %q, the file's %q", old, fresh)
+	}
+	if err := standing.round(); err != nil {
+		t.Error(err)
+	}
+}
--- a/cmd/spurspread/upgrade_test.go
+++ b/cmd/spurspread/upgrade_test.go
@@ -16,7 +16,6 @@
 
 	"spurspread/internal/handover"
 	"spurspread/lab/discovery"
-	"spurspread/lab/echo"
 )
 
 // stream is a client that stands; it says a line and waits until that has come back, over and over.
@@ -26,14 +25,14 @@
 	said int
 }
 
-func open(addr string, id int) (*stream, string, error) {
+func open(addr, class string, id int) (*stream, string, error) {
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		return nil, "", err
 	}
 	_ = c.SetDeadline(time.Now().Add(60 * time.Second)) // only so that a fault ends the test
 	s := &stream{c: c, in: bufio.NewReader(c)}
-	if _, err := fmt.Fprintf(c, "OPEN %08x 7f3a c=index-sync,d=1200\r\n", id); err != nil {
+	if _, err := fmt.Fprintf(c, "OPEN %08x 7f3a c=%s,d=1200\r\n", id, class); err != nil {
 		return s, "", err
 	}
 	answer, err := s.in.ReadString('\n')
@@ -60,30 +59,16 @@
 	silent, clients := listener(t), freePort(t)
 	var asked sync.Map // ids, of those that asked after the upgrade began
 	var counting atomic.Bool
-	path := env(t, "127.0.0.1:8081", clients)("GW_CONFIG")
-	text, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	changed := strings.Replace(string(text), "127.0.0.1:8500", silent.Addr().String(), 1)
-	for _, at := range []string{"127.0.0.1:9001", "127.0.0.1:9002"} {
-		ln := listener(t)
-		_ = ln.SetDeadline(time.Time{})
-		go echo.Serve(ln, func(first string) {
-			if counting.Load() {
-				asked.Store(strings.Fields(first)[1], true)
-			}
-		})
-		changed = strings.Replace(changed, at, ln.Addr().String(), 1)
-	}
-	if err := os.WriteFile(path, []byte(changed), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	path, _ := configured(t, append(nodes(t, func(_ int, first string) {
+		if counting.Load() {
+			asked.Store(strings.Fields(first)[1], true)
+		}
+	}), "127.0.0.1:8081", clients, "127.0.0.1:8500", silent.Addr().String())...)
 	tmp := "TMPDIR=" + t.TempDir()
 	old := start(t, "GW_CONFIG="+path, tmp)
 	var streams []*stream
 	for i := range standing {
-		s, answer, err := open(clients, i)
+		s, answer, err := open(clients, "index-sync", i)
 		if answer != "UP 1\r\n" {
 			t.Fatalf("stream %d: %q, %v", i, answer, err)
 		}
@@ -107,7 +92,7 @@
 	came := 0
 	load.Go(func() {
 		for id := 1000; !stop.Load(); id++ {
-			s, answer, err := open(clients, id)
+			s, answer, err := open(clients, "index-sync", id)
 			if answer != "UP 1\r\n" && !strings.HasPrefix(answer, "BUSY") {
 				t.Errorf("a client that came meanwhile: %q, %v", answer, err)
 			}
@@ -159,28 +144,13 @@
 		t.Fatal(err)
 	}
 	clients := freePort(t)
-	path := env(t, "127.0.0.1:8081", clients)("GW_CONFIG")
-	text, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	changed := strings.Replace(string(text), "127.0.0.1:8500", told.Addr(), 1)
 	var asked [2]atomic.Int64
-	for i, at := range []string{"127.0.0.1:9002", "127.0.0.1:9001"} { // the configuration's list is of generation 1
-		ln := listener(t)
-		_ = ln.SetDeadline(time.Time{})
-		go echo.Serve(ln, func(first string) {
-			if strings.HasPrefix(first, "OPEN") {
-				asked[i].Add(1)
-			}
-		})
-		changed = strings.Replace(changed, at, ln.Addr().String(), 1)
-		told.Set(discovery.Entry{ID: fmt.Sprint("toy-", 2-i), Addr: ln.Addr().String(), Zone: "here", Machine: "toy",
-			Lifecycle: []string{discovery.Ready, discovery.Terminating}[i], Weight: 1})
-	}
-	if err := os.WriteFile(path, []byte(changed), 0o600); err != nil {
-		t.Fatal(err)
+	pairs := nodes(t, func(i int, _ string) { asked[i].Add(1) })
+	for i, state := range []string{discovery.Ready, discovery.Terminating} { // the configuration's list is of generation 1
+		told.Set(discovery.Entry{ID: fmt.Sprint("toy-", 2-i), Addr: pairs[3-2*i], Zone: "here", Machine: "toy", Lifecycle: state,
+			Weight: 1})
 	}
+	path, _ := configured(t, append(pairs, "127.0.0.1:8081", clients, "127.0.0.1:8500", told.Addr())...)
 	dir := t.TempDir()
 	old := start(t, "GW_CONFIG="+path, "TMPDIR="+dir)
 	kept := handover.ListPath(dir, netip.MustParseAddrPort(clients))
@@ -202,14 +172,14 @@
 		t.Errorf("the old one ended with %v", err)
 	}
 	for i := range 16 {
-		s, answer, err := open(clients, i)
+		s, answer, err := open(clients, "index-sync", i)
 		if answer != "UP 1\r\n" {
 			t.Fatalf("client %d: %q, %v", i, answer, err)
 		}
 		_ = s.c.Close()
 	}
-	if asked[1].Load() != 0 || asked[0].Load() < 16 {
-		t.Errorf("%d went to the server that drains, %d to the other", asked[1].Load(), asked[0].Load())
+	if asked[0].Load() != 0 || asked[1].Load() < 16 {
+		t.Errorf("%d went to the server that drains, %d to the other", asked[0].Load(), asked[1].Load())
 	}
 	if err := next.cmd.Process.Signal(unix.SIGTERM); err != nil {
 		t.Fatal(err)
