--- a/lab/experiment/experiment.go
+++ b/lab/experiment/experiment.go
@@ -85,7 +85,7 @@
 
 // Step is one thing that happens.
 type Step struct {
-	Do       string        `xml:"do,attr" use:"required" enum:"drain,kill-node,hang-node,wake-node,restart-node,list-gone,kill-balancer,start-balancer,terminate-balancer,upgrade-balancer,settle,garbage,watch,hold-clients,release-clients,stop-reading-node,break-trunks,weigh" doc:"upgrade-balancer: a new process beside the old one, which is then stopped in the planned way; settle: until all streams stand; garbage: clients that present garbage tokens as fast as they can; watch: measure the streams beside what the step names; hold-clients: the first client of each connection reads nothing; stop-reading-node: it goes on sending; break-trunks: the node's connections with channels are reset; weigh: the balancers' memory for each stream"`
+	Do       string        `xml:"do,attr" use:"required" enum:"drain,kill-node,hang-node,wake-node,restart-node,list-gone,kill-balancer,start-balancer,terminate-balancer,upgrade-balancer,lame-duck,rejoin,settle,garbage,watch,hold-clients,release-clients,stop-reading-node,break-trunks,weigh" doc:"upgrade-balancer: a new process beside the old one, which is then stopped in the planned way; lame-duck, rejoin: calls of the balancer's management address, and 4 s later nobody is to be left on a lame duck; settle: until all streams stand; garbage: clients that present garbage tokens as fast as they can; watch: measure the streams beside what the step names; hold-clients: the first client of each connection reads nothing; stop-reading-node: it goes on sending; break-trunks: the node's connections with channels are reset; weigh: the balancers' memory for each stream"`
 	After    form.Duration `xml:"after,attr" default:"0s" max:"10m" doc:"the step before"`
 	Jitter   form.Duration `xml:"jitter,attr" default:"0s" max:"1m" doc:"and up to so much, drawn from the seed"`
 	Node     int           `xml:"node,attr" default:"0"`
@@ -359,6 +359,10 @@
 			err = fmt.Errorf("the old process of balancer %d ended with %d: %v", s.Balancer, code, w.Balancers[s.Balancer].Tail())
 		}
 		return err
+	case "lame-duck":
+		return pl.lameDuck(ctx, w.Balancers[s.Balancer])
+	case "rejoin":
+		return pl.manage(w.Balancers[s.Balancer], "REJOIN")
 	case "settle":
 		return pl.settle(s.Within.Std())
 	case "garbage":
@@ -413,6 +417,34 @@
 	return nil
 }
 
+// manage makes a call of a balancer's management address, and keeps how long the slowest answer took.
+func (pl *player) manage(b *world.Balancer, call string) error {
+	took, err := b.Manage(call)
+	pl.more["call_ms_max"] = max(pl.more["call_ms_max"], float64(took.Microseconds())/1000)
+	return err
+}
+
+// lameTime is how long a lame duck has to move its clients away.
+const lameTime = 4 * time.Second
+
+// lameDuck has a balancer move its clients away, and counts those that are moved in time. Moves after it are counted as the
+// rest of all moves.
+func (pl *player) lameDuck(ctx context.Context, b *world.Balancer) error {
+	pl.all.Add(pl.w.Check.Split())
+	if err := pl.manage(b, "LAMEDUCK"); err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(lameTime):
+	}
+	f := pl.w.Check.Split()
+	pl.all.Add(f)
+	pl.more["moves_in_time"] += float64(f.Moves)
+	return nil
+}
+
 // resident is what all balancers hold in memory.
 func (pl *player) resident() float64 {
 	sum := 0.0
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -286,6 +287,7 @@
 	w      *World
 	rank   int
 	listen string
+	mgmt   string // of the present process
 	starts int
 
 	mu   sync.Mutex
@@ -324,6 +326,10 @@
 // Start starts the process and waits until it listens.
 func (b *Balancer) Start() error {
 	b.starts++
+	var err error
+	if b.mgmt, err = freePort(); err != nil { // each process has a management address of its own
+		return err
+	}
 	path := filepath.Join(b.w.cfg.Dir, fmt.Sprintf("balancer-%d.json", b.rank))
 	text, err := json.Marshal(b.w.config(b))
 	if err != nil {
@@ -376,6 +382,37 @@
 	}
 }
 
+// freePort is an address that nobody listens at.
+func freePort() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return ln.Addr().String(), ln.Close()
+}
+
+// callTime is how long a call of the management address may take; beyond it no answer is waited for.
+const callTime = 3 * time.Second
+
+// Manage makes a call of its management address, and tells how long the answer took. An answer other than +OK is an error.
+func (b *Balancer) Manage(call string) (time.Duration, error) {
+	began := time.Now()
+	c, err := net.DialTimeout("tcp", b.mgmt, callTime)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(began.Add(callTime))
+	if _, err := fmt.Fprint(c, call, "\r\n"); err != nil {
+		return 0, err
+	}
+	answer, err := bufio.NewReader(c).ReadString('\n')
+	if err == nil && !strings.HasPrefix(answer, "+OK") {
+		err = fmt.Errorf("%s was answered %q", call, answer)
+	}
+	return time.Since(began), err
+}
+
 // started reads where a balancer listens from its first log line, in either form: programs of before JSON are measured
 // as well.
 func started(line string) string {
@@ -502,7 +539,7 @@
 			"streaming": true, "worth": worth}
 	}
 	return map[string]any{
-		"name": fmt.Sprint("n", b.rank), "listen": b.listen, "discovery": w.Discovery.Addr(),
+		"name": fmt.Sprint("n", b.rank), "listen": b.listen, "mgmt": b.mgmt, "discovery": w.Discovery.Addr(),
 		"seed":   fmt.Sprintf("%x", w.cfg.Seed*1000+uint64(b.rank*100+b.starts)),
 		"limits": map[string]any{"cores": 1, "memory_mb": cmp.Or(w.cfg.MemoryMB, 192), "sockets": 8192},
 		"known":  w.Discovery.Whole(),
