Place by what is asked of a server: told loads, live weights, reports asked for by price

Ruled out: set-ups (70 ms at the 99th percentile), silence, descriptors, failed or moved streams in the log. At fault in logic/logic.go: onNote dropped load notes, appeal counted connections and multiplied by a constant 50 for a group (groups there fill a server alone), Units took the live weight for a size (census then found 0.75 of a whole fleet "present", and moves and returns were throttled), x0 was read after demotions only; in internal/relay/probe.go a probe never asked for the report.

--- /dev/null
+++ b/decide/asks/asks_test.go
@@ -0,0 +1,76 @@
+package asks
+
+import "testing"
+
+const start = 1000 * sec
+
+func asker(rank, balancers int) *Asker {
+	a := &Asker{Rank: rank, Balancers: balancers, Every: 10 * sec, Jitter: func(d int64) int64 { return d / 2 }}
+	a.Begin(start)
+	return a
+}
+
+func TestBacksOffOnFailure(t *testing.T) {
+	a := asker(2, 4)
+	now := a.next
+	if a.Due(now-1) || !a.Due(now) || a.Due(now+sec) {
+		t.Fatal("not asked once, in its turn")
+	}
+	if !a.Due(now + guard*5/4) {
+		t.Fatal("an ask without an answer holds for good")
+	}
+	last := int64(0)
+	for i := range 3 {
+		now = a.next
+		a.Failed(now)
+		wait := a.next - now
+		if most := int64(backoff/2 + backoff<<i); wait < backoff/2 || wait > most || a.Due(a.next-1) {
+			t.Fatalf("failure %d waits %d of %d at most", i, wait, most)
+		}
+		last = max(last, wait)
+	}
+	if last <= backoff*3/2 {
+		t.Fatalf("failures in a row wait %d at most", last)
+	}
+	a.Due(a.next)
+	a.Answered(now)
+	if a.Due(now+60*sec) || a.fails != 0 {
+		t.Fatal("an answer does not count as the watch")
+	}
+}
+
+// However many balancers there are, each asks before it is deemed informed without asking, and they do not ask at once.
+func TestAllAskInTurnAndInTime(t *testing.T) {
+	for _, n := range []int{1, 3, 80, 5000} {
+		seconds := map[int64]int{}
+		for rank := range n {
+			a := asker(rank, n)
+			if a.next <= start || a.next-start > a.Every {
+				t.Fatalf("%d of %d first asks after %d", rank, n, a.next-start)
+			}
+			seconds[a.next/sec]++
+		}
+		for s, asks := range seconds {
+			if most := max(11, n/10+1); asks > most {
+				t.Errorf("%d of %d ask in second %d", asks, n, s)
+			}
+		}
+	}
+}
+
+// A refresh on a live watch is asked for once in a while only, and not beside an ask that is under way.
+func TestRefresh(t *testing.T) {
+	a := asker(0, 3)
+	a.Due(a.next)
+	if a.Answered(start); a.MayRefresh(start + refreshGap - 1) {
+		t.Fatal("refreshes too soon")
+	}
+	now := int64(start + refreshGap)
+	if !a.MayRefresh(now) {
+		t.Fatal("never refreshes")
+	}
+	a.Refresh(now)
+	if a.MayRefresh(now) || a.next <= now || a.next > now+a.Span() || !a.Due(a.next) || a.MayRefresh(a.next) {
+		t.Fatal("not asked once more, in its turn")
+	}
+}
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -208,6 +208,20 @@
 	return Other, 0
 }
 
+// Field reads the number that a line's last word tells under a name, as in "PONG queue=2,x0=0.61".
+func Field(text []byte, name string) (float64, bool) {
+	_, rest, _ := bytes.Cut(text, []byte(" "))
+	for len(rest) > 0 {
+		var pair []byte
+		pair, rest, _ = bytes.Cut(rest, []byte(","))
+		if key, value, ok := bytes.Cut(pair, []byte("=")); ok && string(key) == name {
+			v, err := strconv.ParseFloat(string(value), 64)
+			return v, err == nil && v >= 0 && !math.IsInf(v, 0)
+		}
+	}
+	return 0, false
+}
+
 // Word is the last word of a line, as STALE's reason is.
 func Word(text []byte) []byte {
 	_, word, _ := bytes.Cut(text, []byte(" "))
--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -21,6 +21,7 @@
 	buf    []byte
 	timer  loop.Ref
 	over   bool
+	load   logic.Report
 }
 
 func (r *Relay) probe(server uint32) {
@@ -31,7 +32,12 @@
 		p.timer = r.l.After(0, func() { p.end(refusal(err)) })
 		return
 	}
-	p.conn.Write([]byte("PING\r\n"))
+	// Where a report is promised, asking for it costs no more than asking whether the target lives.
+	question := "PING\r\n"
+	if len(r.cfg.Settings.Logic.Columns) > 0 {
+		question = "STATS\r\n"
+	}
+	p.conn.Write([]byte(question))
 	connect := loop.Micros(r.cfg.Settings.ConnectTimeout)
 	p.timer = r.l.After(connect, func() {
 		if !p.up {
@@ -70,6 +76,7 @@
 		} else if n > 0 {
 			switch kind, _ := line.Server(text); kind {
 			case line.Pong:
+				p.load = p.r.loadReport(text)
 				p.end(logic.OK)
 			case line.Busy:
 				p.end(logic.ServerFull)
@@ -87,5 +94,20 @@
 	p.over = true
 	p.r.l.Cancel(&p.timer)
 	p.conn.Close()
-	p.r.tell(logic.Probed{Server: p.server, Status: status, Took: logic.Micros(p.r.l.Now() - p.began)})
+	p.r.tell(logic.Probed{Server: p.server, Status: status, Took: logic.Micros(p.r.l.Now() - p.began), Load: p.load})
+}
+
+// loadReport reads the load report behind a target's word, in the order of the columns that the settings name.
+func (r *Relay) loadReport(text []byte) (rep logic.Report) {
+	for i, name := range r.cfg.Settings.Logic.Columns {
+		if i < len(rep.Values) {
+			v, ok := line.Field(text, name)
+			if !ok {
+				return logic.Report{}
+			}
+			rep.Values[i] = float32(v)
+			rep.N = i + 1
+		}
+	}
+	return rep
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -429,6 +429,29 @@
 	}
 }
 
+// Where load reports are promised a probe asks for one and passes it on in the settings' order, or nothing of one that
+// can't be read.
+func TestProbesBringLoadReports(t *testing.T) {
+	for answer, want := range map[string]logic.Report{
+		"PONG depth=2,tps=0.431,x0=1.25\r\n":   {N: 3, Values: [4]float32{2, 0.431, 1.25}},
+		"PONG x0=0.5,depth=0,more=9,tps=1\r\n": {N: 3, Values: [4]float32{0, 1, 0.5}},
+		"PONG\r\n":                             {},
+		"PONG depth=2,x0=1.25\r\n":             {},
+		"PONG depth=2,tps=x,x0=1.25\r\n":       {},
+		"PONG depth=2,tps=1,x0=-1\r\n":         {},
+		"PONG depth=2,tps=1,x0=NaN,x0=1\r\n":   {},
+	} {
+		g := newRig(t, 1, nil, func(cfg *Config) { cfg.Settings.Logic.Columns = []string{"depth", "tps", "x0"} })
+		g.l.Post(func() { g.r.do(logic.Probe{Server: 0}) })
+		target := g.hop(0)
+		target.want("STATS\r\n")
+		target.say(answer)
+		if p := event[logic.Probed](g); p.Status != logic.OK || p.Load != want {
+			t.Errorf("%q: %+v", answer, p)
+		}
+	}
+}
+
 // A planned stop sheds what is new, moves what stands, and ends the loop.
 func TestDrain(t *testing.T) {
 	g := newRig(t, 1, to, nil)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -141,6 +141,8 @@
 		Zones:          len(s.list("dcs")),
 		Ask:            s.word("discovery", "push", "push", "ask") == "ask",
 		Pass:           s.word("specifics.mode", "proxy", "proxy", "pass") == "pass",
+		LiveWeights:    s.pairs["weights"] == "live",
+		TellsLoad:      s.flag("specifics.tells_load"),
 		Tick:           s.time("tick", false, 1000),
 		OverShareWorth: s.num("over_share_worth", false, 1),
 		MostTries:      int(s.num("limits.most_tries", true, 1)),
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -54,6 +54,19 @@
 	}
 }
 
+// What weights mean, and that loads are told, decide how servers are compared.
+func TestSettingsOfLoad(t *testing.T) {
+	for text, want := range map[string][2]bool{
+		"": {}, "weights=nominal\nspecifics.tells_load=false": {}, "weights=live": {true, false},
+		"weights=rough\nspecifics.tells_load=true": {false, true},
+	} {
+		s, err := ParseText([]byte(minimal + text + "\n"))
+		if err != nil || s.Logic.LiveWeights != want[0] || s.Logic.TellsLoad != want[1] {
+			t.Errorf("%q: live %v, told %v, %v", text, s.Logic.LiveWeights, s.Logic.TellsLoad, err)
+		}
+	}
+}
+
 func TestSettingsNameWhatIsWrong(t *testing.T) {
 	for bad, want := range map[string]string{
 		"rules.cold=":                      "rules.cold:",
--- a/logic/api.go
+++ b/logic/api.go
@@ -47,6 +47,8 @@
 	Rank, Balancers, Zone, Zones int
 	Ask                          bool // discovery answers only when asked
 	Pass                         bool // packets pass through; connections outlive the proxy
+	TellsLoad                    bool // notes tell the load of a connection
+	LiveWeights                  bool // an entry's Units are the server's size over 1 + what it holds for each core
 	Tick                         Micros
 	Classes                      []Class
 	Tenants                      []Tenant
--- /dev/null
+++ b/logic/load_test.go
@@ -0,0 +1,136 @@
+package logic
+
+import (
+	"testing"
+)
+
+// told is a deployment whose servers tell the loads of connections, whose weights fall with use, and whose probes bring
+// what is asked of a server over what it can do.
+func told() Settings {
+	s := settings()
+	s.TellsLoad, s.LiveWeights, s.Zones, s.Balancers = true, true, 1, 1
+	s.FeeProbe, s.Columns = 0.004, []string{"depth", "x0"}
+	return s
+}
+
+// cores lists n servers of two cores each, with nothing on them.
+func cores(n int) []Entry {
+	list := fleet(n, 0)
+	for i := range list {
+		list[i].Units = 2
+	}
+	return list
+}
+
+// bring has one connection of this load and group come to stand, and returns where.
+func (g *rig) bring(load float64, group uint64) uint32 {
+	g.now += 100 * ms
+	g.b.pace.Width = 100
+	g.next++
+	acts := g.do(Request{ID: g.next, Left: 2 * sec, Group: group, Hint: load, HasHint: true})
+	sends := only[Send](acts)
+	if len(sends) != 1 {
+		g.t.Fatalf("%v", acts)
+	}
+	g.do(Established{ID: g.next, Server: sends[0].Server, Took: 10 * ms})
+	g.do(Note{ID: g.next, Server: sends[0].Server, Kind: LoadNote, Value: load})
+	return sends[0].Server
+}
+
+// A group stays together as far as its server can carry it, by the loads that are told, and no further.
+func TestAGroupIsSpreadBeforeItsServerIsFull(t *testing.T) {
+	for _, load := range []float64{100_000, 10_000} { // a tenth of a core each, and a hundredth
+		g := newRig(t, told(), cores(4))
+		at := map[uint32]float64{}
+		for range 30 {
+			at[g.bring(load, 77)] += load / 1e6
+		}
+		for s, carried := range at {
+			if used := carried / 2; used > 0.75 {
+				t.Errorf("loads of %v: server %d is asked %.2f of what it can do: %v", load, s, used, at)
+			}
+		}
+		if load < 50_000 && len(at) != 1 {
+			t.Errorf("light connections of one group on %d servers", len(at))
+		}
+	}
+}
+
+// A heavy connection counts for what it is, not as one of many: the next ones go elsewhere.
+func TestAHeavyConnectionIsNotOneOfMany(t *testing.T) {
+	g := newRig(t, told(), cores(2))
+	for i := range uint64(20) {
+		g.bring(10_000, i+1) // what a usual one is
+	}
+	heavy, next := g.bring(1_500_000, 100), map[uint32]int{}
+	for i := range uint64(8) {
+		next[g.bring(50_000, 200+i%2)]++
+	}
+	if next[heavy] > 0 {
+		t.Fatalf("%d of 8 went to the server with the heavy one", next[heavy])
+	}
+}
+
+// What a weight that falls with use says of other balancers' connections, and a server's size, are two things.
+func TestLiveWeights(t *testing.T) {
+	g := newRig(t, told(), cores(3))
+	for i := range uint64(10) {
+		g.bring(100_000, i+1)
+	}
+	before := g.b.present
+	list := cores(3)
+	list[0].Units = 2 / (1 + 8.) // eight held for each of its two cores
+	g.do(Update{Kind: Delta, Entries: list[:1]})
+	g.wait(tickEvery)
+	s := g.b.byID[1]
+	if s.Units != 2 || g.b.present != before || s.Others+float64(s.Conns) != 16 {
+		t.Fatalf("size %v, present %v, %v others and %d own", s.Units, g.b.present, s.Others, s.Conns)
+	}
+	got := map[uint32]int{}
+	for i := range uint64(6) {
+		got[g.bring(100_000, 50+i)]++
+	}
+	if got[1] > 1 {
+		t.Fatalf("the server that others have filled got %d of 6", got[1])
+	}
+}
+
+// Reports are asked for as far as their price goes, and tell of load that nobody else tells of.
+func TestReportsAreAskedForByPrice(t *testing.T) {
+	g := newRig(t, told(), cores(4))
+	if n := len(only[Probe](g.wait(20 * sec))); n != 0 {
+		t.Fatalf("%d probes with no request to pay for them", n)
+	}
+	probes, requests := 0, 0
+	for i := range 100 {
+		g.bring(1000, uint64(i%5+1))
+		requests++
+		for _, p := range only[Probe](g.wait(sec)) {
+			probes++
+			load := Report{N: 2, Values: [4]float32{0, 0.1}}
+			if p.Server == 2 {
+				load.Values[1] = 0.95 // another program has the machine
+			}
+			g.do(Probed{Server: p.Server, Status: OK, Load: load})
+		}
+	}
+	if least, most := requests*5/4, requests*2; probes < least || probes > most {
+		t.Errorf("%d probes for %d requests, want %d to %d", probes, requests, least, most)
+	}
+	got := map[uint32]int{}
+	for i := range uint64(40) {
+		got[g.bring(20_000, 100+i)]++
+	}
+	if got[2] > 2 {
+		t.Errorf("the server whose reports tell 0.95 got %d of 40", got[2])
+	}
+	none := told()
+	none.Columns = nil
+	g = newRig(t, none, cores(4))
+	for range 20 {
+		g.bring(1000, 1)
+		if n := len(only[Probe](g.wait(sec))); n != 0 {
+			t.Fatalf("%d probes where no report says what is asked", n)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -7,6 +7,11 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+
+	"spurspread/decide/asks"
+	"spurspread/decide/fill"
+	"spurspread/decide/load"
+	"spurspread/decide/setups"
 )
 
 // Every tuned constant. The troubles answered here last seconds to half a minute, not the note's minute.
@@ -22,13 +27,6 @@
 	probeCap       = 4        // validations under way at once
 	softDemotedMax = 0.5      // share of home above which slowness is shared, no server's fault
 
-	// Discovery.
-	askSpread  = 100 * ms // of discovery's time for each balancer: all ask within the sum, see askSpan
-	askGuard   = 8 * sec  // an ask without an answer is given up after this
-	askBackoff = 500 * ms // the least span of a wait after a failed ask; doubles up to askWidest times
-	askWidest  = 4
-	refreshGap = 12 * sec // asking again on a live watch at most so often
-
 	// Placement.
 	holdStep   = 40 * ms // a request that no server may have now is looked at again after this
 	answerLead = 12 * ms // final answers leave so long before the client's time is up
@@ -53,39 +51,17 @@
 	resetPause = 2 * sec  // the same after a reset
 	resetPair  = 1 * sec  // two resets within this are the doing of the server
 
-	failMemory           = 0.1
-	setUpRise, setUpFall = 1.6, 1.25 // settle where about two thirds of set-ups are quicker
-	setUpLeast           = 1000
-	failShared           = 0.5 // of recent set-ups fail: the cause is shared
-
-	// While set-ups fail, what is sent is so many times what comes to stand, and some to find out.
-	throttleTimes = 2.0
-	throttleFree  = 160.0 // by all balancers together, in the memory
-	throttleFade  = 0.975 // a tick; a memory of 10 s
-
-	// Set-ups at once.
-	widthAt   = 200 * ms // set-ups that take longer wait for something that all share: fewer at once
-	widthCut  = 0.8      // for each that ends while they do
-	widthGrow = 1.0      // for each that ends while they don't
-
-	widthLeast, widthMost, widthStart = 2.0, 40.0, 12.0
-
 	// Filling servers.
-	coldRate   = 3.8    // connections a second that a warm server of mean size takes, for a cold one's budget
-	fillRate   = 10.5   // connections a second that a warm server of mean size gets at most, of all balancers
-	fillBurst  = 24.0   // and at once
-	fillShare  = 1 / 3. // of both, at least, for each: less would not place what comes back to one of many
-	fillFirst  = 18     // by a balancer that has just started, until a server tells of lateness
-	thinPart   = 0.07   // of the fleet is out: what comes back is more than the rest had
-	thinPrice  = 2.5    // of the filling rate, for each of those
-	owedFade   = 0.1    // a second, of those that are still to come back
-	mostCut    = 0.9    // of what a server had that could not carry it, it may have again
-	mostGrow   = 0.05   // a second, by which that rises while it is in time
-	mostLeast  = 1.0    // the same, in connections
-	groupBonus = 50     // times as likely is a server that has others of the group
-	groupLoad  = 0.5    // connections that a group counts as, besides its own
-	evenness   = 2.0    // how strongly a server's load tells against it
-	evenLeast  = 10.0   // connections; fewer of a balancer's own say little against a group's hash
+	thinPart   = 0.07 // of the fleet is out: what comes back is more than the rest had
+	thinPrice  = 2.5  // of the filling rate, for each of those
+	owedFade   = 0.1  // a second, of those that are still to come back
+	mostCut    = 0.9  // of what a server had that could not carry it, it may have again
+	mostGrow   = 0.05 // a second, by which that rises while it is in time
+	mostLeast  = 1.0  // the same, in connections
+	groupBonus = 50   // times as likely is a server that has others of the group
+	groupLoad  = 0.5  // connections that a group counts as, besides its own
+	evenness   = 2.0  // how strongly a server's load tells against it
+	evenLeast  = 10.0 // connections; fewer of a balancer's own say little against a group's hash
 
 	standSpan = 60 * sec // memory of the most that stood
 
@@ -110,25 +86,24 @@
 // server is all that this balancer knows of one server.
 type server struct {
 	Entry
-	health            Health
-	entered           [4]Micros // when it last entered each state
-	strikes           int       // demotions in a row without forgiveAfter of good service
-	validateAt        Micros    // when an Unhealthy server may be validated
-	probing           bool
-	failed            bool           // demoted for a failure, not for slowness
-	pending           int            // attempts under way
-	groups            map[uint64]int // how many of them each group has
-	conns             []*request     // connections that stand, in no order that matters but a fixed one
-	window            Micros         // start of the budget's present window
-	left              float64        // work that may still be sent in it
-	tokens            float64        // connections that it may get now; see room
-	most              float64        // connections of this balancer's that it seems to carry
-	delay             float64        // the last delay note, as a multiple of the shortest message aim
-	tokensAt, delayAt Micros         // when the tokens were counted, when the note came
-	rise              float64        // seconds by which its delay grew, a second
-	shutUntil         Micros         // nothing new until then
-	resetAt           Micros         // the last reset by it
-	triedBy           uint32         // request that has tried it last, plus one
+	load.Gauge
+	fill.Budget
+	health     Health
+	entered    [4]Micros // when it last entered each state
+	strikes    int       // demotions in a row without forgiveAfter of good service
+	validateAt Micros    // when an Unhealthy server may be validated
+	probing    bool
+	failed     bool           // demoted for a failure, not for slowness
+	pending    int            // attempts under way
+	groups     map[uint64]int // how many of them each group has
+	conns      []*request     // connections that stand, in no order that matters but a fixed one
+	most       float64        // connections of this balancer's that it seems to carry
+	delay      float64        // the last delay note, as a multiple of the shortest message aim
+	delayAt    Micros         // when the note came
+	rise       float64        // seconds by which its delay grew, a second
+	shutUntil  Micros         // nothing new until then
+	resetAt    Micros         // the last reset by it
+	triedBy    uint32         // request that has tried it last, plus one
 }
 
 // request is one client request that this balancer has taken, until its last outcome.
@@ -141,6 +116,8 @@
 	sent       int     // attempts made
 	price      float64 // of a server's filling rate; see room
 	at         *server // server of the attempt under way or of the connection
+	load       float64 // cores, as told, hinted or guessed
+	borne      *server // whose load it is counted to
 	open       bool    // the connection stands
 	closed     bool    // answered or withdrawn; only an outcome is awaited
 	ran        *server // server of the first attempt that may have run
@@ -159,24 +136,20 @@
 	started bool
 	servers []*server // in the order in which they were first listed
 	byID    map[uint32]*server
+	fleet   load.Fleet
 	reqs    map[uint32]*request
 	out     []Action
 
-	watching, asking bool
-	refresh          bool // asked for again though watching, at nextAsk
-	nextAsk          Micros
-	heard            Micros // discovery's last answer
-	askFails, probes int    // asks that failed in a row, validations under way
+	asks   asks.Asker
+	probes int // validations under way
 
 	unitsMost float64 // the most that was there lately
 	present   float64 // the part of that which is there now
+	polls     load.Survey
 	owed      float64 // connections that servers ended, and that may come back
 	meanUnits float64 // size of a ready server
 
-	failing         float64 // part of recent set-ups that failed
-	width           float64 // how many there may be
-	setUp           float64 // two thirds of recent set-ups were quicker
-	tries, goods    float64 // set-ups that ended or were not begun, and those that stood; they fade
+	pace            setups.Pace
 	retries         float64
 	counted         Micros  // when census looked last
 	meanWork, hints float64 // the mean hint, and how many there were
@@ -185,9 +158,13 @@
 // New returns a balancer that has just started.
 func New(s Settings, seed uint64, now Micros) *Balancer {
 	b := &Balancer{set: s, rng: rand.New(rand.NewPCG(seed, 0x726f62696e6c7567)),
-		byID: map[uint32]*server{}, reqs: map[uint32]*request{}, heard: now,
-		counted: now, meanUnits: 1, present: 1, width: widthStart}
-	b.nextAsk, b.retries = b.turn(now, b.askSpan()), max(retryMost*b.share(1), 2)
+		byID: map[uint32]*server{}, reqs: map[uint32]*request{},
+		counted: now, meanUnits: 1, present: 1, pace: setups.New()}
+	b.fleet.Live, b.fleet.Told = s.LiveWeights, s.TellsLoad
+	b.asks = asks.Asker{Rank: s.Rank, Balancers: s.Balancers, Every: int64(s.AskEvery),
+		Jitter: func(d int64) int64 { return int64(b.jitter(Micros(d))) }}
+	b.asks.Begin(int64(now))
+	b.retries = max(retryMost*b.share(1), 2)
 	return b
 }
 
@@ -251,16 +228,6 @@
 
 func (d Micros) seconds() float64 { return float64(d) / float64(sec) }
 
-// turn is this balancer's next moment, by its rank, in a cycle of length d that all share by the clock.
-func (b *Balancer) turn(now, d Micros) Micros {
-	n := Micros(max(b.set.Balancers, 1))
-	at := now - now%d + d*(Micros(b.set.Rank)%n)/n + b.jitter(d/n)
-	if at <= now {
-		at += d
-	}
-	return at
-}
-
 // around draws from 3/4 d to 5/4 d, so that balancers which saw one event don't act on it in step.
 func (b *Balancer) around(d Micros) Micros { return d*3/4 + b.jitter(d/2) }
 
@@ -342,9 +309,7 @@
 
 func (b *Balancer) onUpdate(now Micros, ev Update) {
 	if ev.Kind == Failed {
-		b.asking, b.watching = false, false
-		b.nextAsk = b.turn(now+askBackoff/2, max(b.askSpan(), askBackoff)<<b.askFails)
-		b.askFails = min(b.askFails+1, askWidest/2)
+		b.asks.Failed(int64(now))
 		return
 	}
 	if ev.Kind != Delta {
@@ -365,11 +330,11 @@
 		b.meanUnits = units / ready
 	}
 	if ev.Kind != Cached {
-		b.asking, b.watching, b.askFails, b.heard = false, true, 0, now
+		b.asks.Answered(int64(now))
 		return
 	}
 	for _, s := range b.servers {
-		s.tokens = fillFirst * s.Units / b.meanUnits
+		s.Tokens = fill.First * s.Units / b.meanUnits
 	}
 }
 
@@ -383,22 +348,27 @@
 		b.enter(now, s, Unknown)
 	} else if e.Started != s.Started && e.State == Ready {
 		b.enter(now, s, Unknown)
-		s.strikes, s.left, s.most = 0, 0, math.Inf(1)
+		s.strikes, s.Left, s.most = 0, 0, math.Inf(1)
+		s.Restarted()
 	}
 	s.Entry = e
 	if s.Units <= 0 {
 		s.Units = 1 // not told
 	}
+	size, held := b.fleet.Size(e.Kind, s.Units)
+	s.List(size, held)
+	s.Units = size
 }
 
 // tick does what no event starts: it asks discovery, and validates demoted servers.
 func (b *Balancer) tick(now Micros) {
 	b.timer(b.around(tickEvery), timerTick)
-	b.tries, b.goods = b.tries*throttleFade, b.goods*throttleFade
+	b.pace.Fade()
 	b.census(now)
-	if b.set.Ask && now >= b.nextAsk && (!b.watching || b.asking || b.refresh) {
-		b.ask(now)
+	if b.set.Ask && b.asks.Due(int64(now)) {
+		b.do(Watch{On: true})
 	}
+	b.survey(now)
 	for _, s := range b.servers {
 		if now-s.delayAt > noteFresh {
 			s.most += max(s.most*mostGrow, mostLeast) * tickEvery.seconds()
@@ -413,32 +383,23 @@
 	}
 }
 
-// askSpan is the time over which all balancers' calls of one cause are spread. Discovery takes one call after
-// another, and what waits too long is lost work to it: asked faster than it answers, it answers nobody.
-func (b *Balancer) askSpan() Micros {
-	return min(askSpread*Micros(max(b.set.Balancers, 1)), b.set.AskEvery)
-}
-
-// ask subscribes, or asks again on the watch, which is a cheap refresh.
-func (b *Balancer) ask(now Micros) {
-	b.asking, b.refresh = true, false
-	b.nextAsk = now + b.around(askGuard)
-	b.do(Watch{On: true})
-}
-
 // validate turns a listed Unhealthy server UnhealthyPending and probes it, if the cap has room, else not now.
 func (b *Balancer) validate(now Micros, s *server) {
 	if b.set.MayProbe {
 		if b.probes >= probeCap || s.probing {
 			return
 		}
-		s.probing = true
-		b.probes++
-		b.do(Probe{s.Server})
+		b.probe(s)
 	}
 	b.enter(now, s, UnhealthyPending)
 }
 
+func (b *Balancer) probe(s *server) {
+	s.probing = true
+	b.probes++
+	b.do(Probe{s.Server})
+}
+
 func (b *Balancer) onProbed(now Micros, ev Probed) {
 	s := b.byID[ev.Server]
 	if s == nil || !s.probing {
@@ -446,32 +407,60 @@
 	}
 	s.probing = false
 	b.probes--
+	load, told := b.used(ev.Load)
+	if told {
+		s.Read(int64(now), &b.fleet, b.warmth(now, s), load)
+	}
 	switch {
 	case s.health != UnhealthyPending:
 	case ev.Status == Moot: // it was never sent, which says nothing of the server
 		b.enter(now, s, Unhealthy)
 		s.validateAt = now + b.around(validateFirst)
-	case ev.Status == OK && !b.loaded(ev.Load):
+	case ev.Status == OK && load <= loadFull:
 		b.connected(now, s)
 	default:
 		b.demote(now, s)
 	}
 }
 
-// loaded tells whether a load report shows a server with no room; what is absent or no number says nothing.
-func (b *Balancer) loaded(r Report) bool {
-	at := slices.Index(b.set.Columns, "x0")
-	return at >= 0 && at < r.N && r.Values[at] > loadFull && !math.IsInf(float64(r.Values[at]), 0)
+// survey keeps the account of what servers carry, and asks one how it is, as far as the price of probes goes.
+func (b *Balancer) survey(now Micros) {
+	var longest *server
+	for _, s := range b.servers {
+		if s.State != Ready {
+			continue
+		}
+		s.Look(int64(now), &b.fleet, b.warmth(now, s))
+		if !s.probing && (s.Conns > 0 || b.away(s) == 0) && (longest == nil || s.AskedAt < longest.AskedAt) {
+			longest = s
+		}
+	}
+	if b.set.MayProbe && b.column() >= 0 && longest != nil && b.probes < probeCap &&
+		b.polls.Due(int64(now), &longest.Gauge) {
+		b.probe(longest)
+	}
+}
+
+// column is where load reports tell what is asked of a server over what it can do, -1 where they don't.
+func (b *Balancer) column() int { return slices.Index(b.set.Columns, "x0") }
+
+// used reads that; what is absent or no number says nothing.
+func (b *Balancer) used(r Report) (float64, bool) {
+	at := b.column()
+	if at < 0 || at >= r.N || !(r.Values[at] >= 0) || math.IsInf(float64(r.Values[at]), 0) {
+		return 0, false
+	}
+	return float64(r.Values[at]), true
 }
 
 // refreshIfLong asks discovery again when a server has been Unhealthy for long, as others will have seen.
 func (b *Balancer) refreshIfLong(now Micros) {
-	if !b.set.Ask || b.asking || b.refresh || !b.watching || now-b.heard < refreshGap {
+	if !b.set.Ask || !b.asks.MayRefresh(int64(now)) {
 		return
 	}
 	for _, s := range b.servers {
 		if s.State == Ready && s.health == Unhealthy && now-s.entered[Unhealthy] > longUnhealthy {
-			b.refresh, b.nextAsk = true, b.turn(now, b.askSpan())
+			b.asks.Refresh(int64(now))
 			return
 		}
 	}
@@ -537,12 +526,15 @@
 			continue
 		}
 		zone, rk, share := b.away(s), rank(now, s), b.warmth(now, s)
+		if b.fleet.Told { // the crossing is in the appeal
+			zone = 0
+		}
 		if now < s.shutUntil || s.triedBy == r.id+1 || !b.room(now, r, s) ||
 			(share < 1 && (r.price == 0 || !b.coldRoom(now, s, share))) {
 			continue
 		}
 		// The least of exponential draws with these rates falls on each server by its share.
-		draw := -math.Log(1-b.draw(r, s)) / b.appeal(r, s)
+		draw := -math.Log(1-b.draw(r, s)) / b.appeal(now, r, s)
 		if share < 1 { // what its budget allows is little, and would be lost
 			if draw = 0; b.present < 1-thinPart {
 				zone = 0
@@ -564,11 +556,14 @@
 
 // appeal is how likely s is to be picked for r: by its size, less for what it carries, much more where it has
 // others of r's group, whose work it then does only once; the size alone, alike to all, where packets pass.
-func (b *Balancer) appeal(r *request, s *server) float64 {
+func (b *Balancer) appeal(now Micros, r *request, s *server) float64 {
 	size := s.Units / b.meanUnits
 	if b.set.Pass {
 		return size
 	}
+	if b.fleet.Told {
+		return s.Appeal(&b.fleet, b.warmth(now, s), r.load, s.groups[r.group] > 0, b.away(s) == 1)
+	}
 	load := float64(len(s.conns)+s.pending) + groupLoad*float64(len(s.groups))
 	appeal := size * math.Pow(1+load/(evenLeast*size), -evenness)
 	if s.groups[r.group] > 0 {
@@ -617,6 +612,12 @@
 		b.hints++
 		b.meanWork += (ev.Hint - b.meanWork) / min(b.hints, 500)
 		r.work = ev.Hint / b.meanWork
+		r.load = ev.Hint / 1e6
+		if b.fleet.Told && b.hints <= 100 {
+			b.fleet.Learn(r.load)
+		}
+	} else {
+		r.load = b.fleet.Mean()
 	}
 	b.reqs[ev.ID] = r
 	return r
@@ -629,6 +630,7 @@
 	}
 	b.retries = min(b.retries+retryGrant, max(retryMost*b.share(1), 2))
 	b.timer(r.due-now, timerDue|uint64(r.id))
+	b.polls.Earn(b.set.FeeProbe)
 	b.refreshIfLong(now)
 	b.place(now, r)
 }
@@ -640,6 +642,7 @@
 	}
 	if r := b.take(now, ev.Request); r != nil {
 		r.sent, r.at = 1, s
+		b.bear(s, r)
 		b.stand(r)
 		b.connected(now, s)
 	}
@@ -647,10 +650,34 @@
 
 func (b *Balancer) stand(r *request) {
 	r.open, r.slot = true, len(r.at.conns)
+	r.at.conns = append(r.at.conns, r)
+}
+
+// bear counts a request's load to the server that has it.
+func (b *Balancer) bear(s *server, r *request) {
+	r.borne = s
+	s.Own, s.Conns = s.Own+r.load, s.Conns+1
 	if r.group != 0 {
-		r.at.groups[r.group]++
+		s.groups[r.group]++
 	}
-	r.at.conns = append(r.at.conns, r)
+	s.Groups = len(s.groups)
+}
+
+// unbear takes it away again.
+func (b *Balancer) unbear(r *request) {
+	s := r.borne
+	if s == nil {
+		return
+	}
+	r.borne = nil
+	s.Own, s.Conns = s.Own-r.load, s.Conns-1
+	if s.Conns == 0 {
+		s.Own = 0
+	}
+	if s.groups[r.group]--; s.groups[r.group] <= 0 {
+		delete(s.groups, r.group)
+	}
+	s.Groups = len(s.groups)
 }
 
 func (b *Balancer) fall(r *request) {
@@ -658,9 +685,7 @@
 	last := conns[len(conns)-1]
 	conns[r.slot], last.slot = last, r.slot
 	r.at.conns = conns[:len(conns)-1]
-	if r.at.groups[r.group]--; r.at.groups[r.group] <= 0 {
-		delete(r.at.groups, r.group)
-	}
+	b.unbear(r)
 	r.open = false
 }
 
@@ -669,7 +694,7 @@
 	left := r.due - now
 	// Whose token is given back can come again with it; an attempt that ends too soon would have used it up.
 	stuck := r.only != nil && (r.sent > 0 || r.only.State != Ready || left < tryLeast)
-	if left <= 0 || stuck || r.sent >= b.set.MostTries || (r.sent > 0 && (b.retries < 1 || b.shared())) {
+	if left <= 0 || stuck || r.sent >= b.set.MostTries || (r.sent > 0 && (b.retries < 1 || b.pace.Shared())) {
 		b.finish(r)
 		return
 	}
@@ -678,15 +703,15 @@
 	for _, o := range b.servers {
 		under += o.pending
 	}
-	if b.set.Pass || float64(under) < b.width {
+	if b.set.Pass || b.pace.Room(under) {
 		s = b.pick(now, r)
 	}
 	if s == nil {
 		b.timer(min(b.around(holdStep), left), timerHold|uint64(r.id))
 		return
 	}
-	if b.rng.Float64() < (b.tries-throttleTimes*b.goods-throttleFree*b.share(1))/(b.tries+1) {
-		b.tries++
+	if b.rng.Float64() < b.pace.Refuses(b.share(1)) {
+		b.pace.NotBegun()
 		b.finish(r)
 		return
 	}
@@ -694,6 +719,7 @@
 		b.retries--
 	}
 	b.spend(now, s, r)
+	b.bear(s, r)
 	s.pending++
 	s.triedBy = r.id + 1
 	r.sent++
@@ -706,7 +732,7 @@
 	if r.sent >= b.set.MostTries || left < 2*tryLeast || r.only != nil {
 		return left
 	}
-	return min(max(Micros(float64(left)*tryShare), tryLeast, Micros(setUpRoom*b.setUp)), left)
+	return min(max(Micros(float64(left)*tryShare), tryLeast, Micros(setUpRoom*b.pace.Span())), left)
 }
 
 // finish gives the final answer: a refusal where a repeat is harmless, else a failure.
@@ -777,6 +803,7 @@
 	} else {
 		s.pending--
 	}
+	b.unbear(r)
 	r.at = nil
 	// An error may be the request's own fault: another server judges it, or one bad client would demote all.
 	unsure := ev.Status == ErrorAnswer && !wasOpen && r.class.Effect == Safe
@@ -803,38 +830,17 @@
 	b.place(now, r)
 }
 
-// tally keeps the part of recent set-ups that failed inside the server or in time, and what two thirds take
-// at most: a mean would take a few servers that hang for a slow store.
 func (b *Balancer) tally(st Status, took Micros) {
 	switch st {
 	case OK:
-		b.failing -= b.failing * failMemory
-		b.tries, b.goods = b.tries+1, b.goods+1
-	case ErrorAnswer, TimedOut:
-		b.failing += (1 - b.failing) * failMemory
-		b.tries++
-	}
-	if st == OK || st == TimedOut {
-		if float64(took) > b.setUp {
-			b.setUp *= setUpRise
-		} else {
-			b.setUp /= setUpFall
-		}
-		b.setUp = max(b.setUp, setUpLeast)
-		// A crowd that comes back outruns the store: tried all at once, each would take too long and be
-		// tried again, which keeps the store busy with what nobody waits for any more.
-		if b.setUp > float64(widthAt) {
-			b.width = max(b.width*widthCut, widthLeast)
-		} else {
-			b.width = min(b.width+widthGrow, widthMost)
-		}
+		b.pace.Stood(float64(took))
+	case ErrorAnswer:
+		b.pace.Failed()
+	case TimedOut:
+		b.pace.TimedOut(float64(took))
 	}
 }
 
-// shared tells that so many set-ups fail that the cause must lie behind all servers: none is demoted for it,
-// and nothing is tried twice, which would keep the cause alive.
-func (b *Balancer) shared() bool { return b.failing > failShared }
-
 // judge draws a server's health from how an attempt ended.
 func (b *Balancer) judge(now Micros, s *server, st Status, wasOpen bool) {
 	switch st {
@@ -855,11 +861,11 @@
 	case ConnectFailed:
 		b.demote(now, s)
 	case ErrorAnswer:
-		if !b.shared() {
+		if !b.pace.Shared() {
 			b.demote(now, s)
 		}
 	case TimedOut:
-		if !b.shared() {
+		if !b.pace.Shared() {
 			b.demoteSoft(now, s)
 		}
 	}
@@ -867,6 +873,11 @@
 
 func (b *Balancer) onNote(now Micros, ev Note) {
 	s := b.byID[ev.Server]
+	if r := b.reqs[ev.ID]; r != nil && r.borne != nil && ev.Kind == LoadNote {
+		r.borne.Own += ev.Value/1e6 - r.load
+		r.load = ev.Value / 1e6
+		b.fleet.Learn(r.load)
+	}
 	if s == nil || ev.Kind != DelayNote || b.aim() == 0 || now-s.delayAt < noteLeast {
 		return // nothing to learn, or the same news on another connection
 	}
@@ -880,7 +891,7 @@
 	switch n := float64(len(s.conns) + s.pending); {
 	case s.delay > slowAt:
 		for _, o := range b.servers {
-			o.tokens = min(o.tokens, fillBurst*max(b.share(1), fillShare))
+			o.Calm(max(b.share(1), fill.Least))
 		}
 		s.most = min(s.most, n)
 		b.demoteSoft(now, s)
@@ -902,7 +913,7 @@
 	free, most := b.free(now), moveMost*b.present*b.present
 	for i := len(s.conns) - 1; i >= 0; i-- {
 		r := s.conns[i]
-		if r.class.MessageAim <= 0 || b.setUp >= moveSetUp*float64(r.class.Aim) {
+		if r.class.MessageAim <= 0 || b.pace.Span() >= moveSetUp*float64(r.class.Aim) {
 			continue
 		}
 		over := s.delay * float64(b.aim()) / float64(r.class.MessageAim)
@@ -918,7 +929,7 @@
 	for _, s := range b.servers {
 		if s.State == Ready && now >= s.shutUntil && rank(now, s) == 0 && !late(now, s) &&
 			b.room(now, &request{price: 1}, s) {
-			free += min(s.tokens, s.most-float64(len(s.conns)+s.pending))
+			free += min(s.Tokens, s.most-float64(len(s.conns)+s.pending))
 		}
 	}
 	return free
@@ -965,16 +976,11 @@
 }
 
 // coldRoom tells whether a cold server's budget has room: what it takes by size and warmth, times the rule's
-// multiple, shared by a zone's balancers. One balancer's part is mostly far under one connection, so a
-// window draws it whole or not at all; unused it lapses, or all would spend theirs at once.
+// multiple, shared by a zone's balancers.
 func (b *Balancer) coldRoom(now Micros, s *server, warmth float64) bool {
-	if now-s.window >= b.set.TipAfter {
-		s.window = now
-		part := coldPart[b.away(s)] * coldRate * s.Units / b.meanUnits * warmth * b.set.OverloadFactor *
-			b.share(max(b.set.Zones, 1)) * b.set.TipAfter.seconds()
-		s.left = min(s.left, 0) + math.Floor(part+b.rng.Float64()) // whole, or one more by chance
-	}
-	return s.left > 0
+	part := coldPart[b.away(s)] * fill.ColdRate * s.Units / b.meanUnits * warmth * b.set.OverloadFactor *
+		b.share(max(b.set.Zones, 1)) * b.set.TipAfter.seconds()
+	return s.Cold(int64(now), int64(b.set.TipAfter), part, b.rng.Float64())
 }
 
 // share is this balancer's part of what each of so many parts of the fleet may do together.
@@ -982,24 +988,15 @@
 	return min(float64(parts)/float64(max(b.set.Balancers, 1)), 1)
 }
 
-// room tells whether s may be sent one more connection now. Whether one is too much shows a second or two
-// later, so a crowd is let in at a rate, each server by its size, and goes on to other zones where home has
-// had its part. A server that told of lateness gets no more than it had until it has been in time a while.
+// room tells whether s may be sent one more connection now, each server by its size; what finds none goes
+// on to other zones. A server that told of lateness gets no more than it had until it has been in time
+// a while.
 func (b *Balancer) room(now Micros, r *request, s *server) bool {
-	part := s.Units / b.meanUnits * max(b.share(1), fillShare)
-	if burst := max(fillBurst*part, r.price); s.tokens < burst {
-		s.tokens = min(s.tokens+fillRate*part*(now-s.tokensAt).seconds(), burst)
-	}
-	s.tokensAt = now
-	return b.set.Pass || s.tokens >= r.price && float64(len(s.conns)+s.pending) < s.most
+	s.Fill(int64(now), s.Units/b.meanUnits*max(b.share(1), fill.Least), r.price)
+	return b.set.Pass || s.Tokens >= r.price && float64(len(s.conns)+s.pending) < s.most
 }
 
 // spend books an attempt on its budget. A light one costs as much to set up as any.
 func (b *Balancer) spend(now Micros, s *server, r *request) {
-	work := max(r.work, 1)
-	if b.warmth(now, s) < 1 {
-		s.left -= work
-	} else {
-		s.tokens = max(s.tokens-work*r.price, 0)
-	}
+	s.Spend(b.warmth(now, s) < 1, max(r.work, 1), r.price)
 }
