Watch pushed lists from the start: until a SIGHUP moved discovery, nobody listened

Ruled out: generations (the agent accepted them), a broken watch (no failure in the log), a late list (seconds at most). At fault: logic asks discovery only where the settings say "ask" (tick, b.set.Ask), and in relay only Reload's Move ever began a watch by itself; with pushed lists a process that gets no SIGHUP heard of no drain and no new server at all.

heedPushed begins the watch at the start, at a retuning to pushed lists, and half a second after it fails.

--- /dev/null
+++ b/internal/relay/pushed_test.go
@@ -0,0 +1,95 @@
+package relay
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"spurspread/internal/route"
+	"spurspread/internal/settings"
+)
+
+// agent stands for the one that lists are pushed to, on the balancer's own machine.
+type agent struct {
+	g  *rig
+	ln *net.TCPListener
+}
+
+func newAgent(t *testing.T) *agent {
+	t.Helper()
+	ln, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	return &agent{ln: ln}
+}
+
+func (a *agent) addr() netip.AddrPort { return netip.MustParseAddrPort(a.ln.Addr().String()) }
+
+// watch takes the next watch, which must begin after the index, and tells one object on it.
+func (a *agent) watch(index int, object string) *peer {
+	a.g.t.Helper()
+	a.g.check(a.ln.SetDeadline(time.Now().Add(patience)))
+	p := a.g.peer(a.ln.Accept())
+	if want := fmt.Sprintf("GET /api/targets?stream=1&index=%d HTTP/1.1\r\n", index); p.line() != want {
+		a.g.t.Fatalf("not asked for %q", want)
+	}
+	for p.line() != "\r\n" {
+	}
+	p.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+	p.say(fmt.Sprintf("%x\r\n%s\n\r\n", len(object)+1, object))
+	return p
+}
+
+// state waits until target 0 is listed so.
+func (g *rig) state(want route.State) {
+	g.t.Helper()
+	for late := time.Now().Add(patience); ; {
+		var got route.State
+		if g.inLoop(func() { got = g.r.table.ByNum(0).State }); got == want {
+			return
+		}
+		if time.Now().After(late) {
+			g.t.Fatalf("target 0 is %v, not %v", got, want)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Where lists are pushed the module never asks. They are heard all the same: from the start, again when the watch breaks,
+// and when a retuning says that lists are pushed from now on.
+func TestPushedListsAreHeardUnasked(t *testing.T) {
+	entry := func(generation int, state string) string {
+		return fmt.Sprintf(`{"generation":%d,"reset":false,"instances":[%s]}`, generation, listed("s0", "127.0.0.1:1", state))
+	}
+	push := strings.Replace(rigSettings, `"discovery":"ask"`, `"discovery":"push"`, 1)
+	a := newAgent(t)
+	a.g = newRig(t, 1, to, func(cfg *Config) {
+		cfg.Discovery = a.addr()
+		cfg.Settings.Logic.Ask = false
+	})
+	first := a.watch(1, entry(42, "Terminating"))
+	a.g.state(route.Terminating)
+	a.g.check(first.Close())
+	a.watch(42, entry(43, "Ready"))
+	a.g.state(route.Ready)
+
+	b := newAgent(t)
+	b.g = newRig(t, 1, to, func(cfg *Config) { cfg.Discovery = b.addr() })
+	b.g.inLoop(func() {
+		if b.g.r.discovery.Watching() {
+			t.Error("asked where only the module asks")
+		}
+		cfg := b.g.r.cfg
+		var err error
+		cfg.Settings, err = settings.ParseJSON([]byte(push))
+		b.g.check(err)
+		b.g.r.Reload(cfg)
+	})
+	b.watch(1, entry(42, "Terminating"))
+	b.g.state(route.Terminating)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -108,6 +108,7 @@
 	}
 	r.tell(r.update(logic.Cached, known))
 	r.evacuate(known)
+	r.heedPushed()
 	r.l.After(sweepEvery, r.sweep)
 	r.l.After(reportEvery, r.report)
 	return r, nil
@@ -136,6 +137,7 @@
 		r.cfg.Discovery = cfg.Discovery
 		r.discovery.Move(cfg.Discovery)
 	}
+	r.heedPushed()
 	r.log.WithField(logs.Discovery, cfg.Discovery).Info("configuration read again")
 }
 
@@ -235,6 +237,17 @@
 func (r *Relay) Failed(err error) {
 	r.log.WithError(err).Warn("discovery failed")
 	r.tell(logic.Update{Kind: logic.Failed})
+	if !r.cfg.Settings.Logic.Ask {
+		r.l.After(pushedAgain, r.heedPushed)
+	}
+}
+
+// heedPushed keeps a watch where lists are pushed. There the module never asks: whoever pushes them, an agent on this
+// machine, is to be heard from the start and costs nobody anything, so nothing is there to decide.
+func (r *Relay) heedPushed() {
+	if !r.cfg.Settings.Logic.Ask && !r.discovery.Watching() {
+		r.discovery.Watch()
+	}
 }
 
 var listStates = map[route.State]logic.ListState{
@@ -284,6 +297,7 @@
 	sweepEvery  = 200 * ms
 	reportEvery = 5 * sec
 	keepAfter   = 200 * ms // changes mostly come together
+	pushedAgain = 500 * ms // what is pushed counts as told after some seconds, heard or not
 )
 
 func (r *Relay) report() {
--- a/internal/route/discovery.go
+++ b/internal/route/discovery.go
@@ -86,6 +86,9 @@
 	c.start(fmt.Sprintf("%s?stream=1&index=%d", path, index))
 }
 
+// Watching tells whether a watch is open, or asked for.
+func (d *Discovery) Watching() bool { return d.live != nil || d.asking != nil || d.again != 0 }
+
 // Move goes over to another address. The table stays, and so does a watch at the old address until the new one has
 // answered or the old one ends it.
 func (d *Discovery) Move(to netip.AddrPort) {
