Empty draining servers step by step, move clients late at a planned stop, fill servers to 0.8

A balancer at SIGTERM moved its clients evenly over 3 s while the one before it was still starting, so half came back to nobody. A report of 0.8 stood 7 s at an empty server, since a balancer with few requests could not pay for another.

--- a/decide/load/load.go
+++ b/decide/load/load.go
@@ -22,6 +22,7 @@
 	sampleGap = 200 * sec / 1000
 
 	meanMemory  = 300   // loads that the mean goes by
+	doubt       = 5     // loads of nothing that the mean begins with: one that is heavy says little of the others
 	hintsEnough = 100   // known loads after which guesses add nothing
 	leastLoad   = 0.001 // what nothing is known of takes something all the same
 
@@ -38,17 +39,17 @@
 	// What a server may be asked for with one more connection: messages of a class that is worth nothing beside the
 	// others still have room to swing at leastFull, and at mostFull those of the class that is worth most are kept while
 	// what is worth less is refused.
-	leastFull, mostFull = 0.75, 0.9
+	leastFull, mostFull = 0.65, 0.8
 	// Asked for more than over, a server answers hardly a message in time, and connections leave it until it is asked
 	// for calm. They show there no sooner than after settle.
-	over, calm = 1.0, 0.8
+	over, calm = 0.9, 0.8
 	settle     = 2 * sec
 	overshoot  = 1.2 // of what is to leave, rather than none
 
 	// Reports are asked for as far as they cost this much of the worth of the requests: the fleet's sum follows its
 	// requests, however many balancers ask.
-	surveyPart = 0.006
-	surveyMost = 3.0 // saved up
+	surveyPart = 0.012
+	surveyMost = 40.0 // saved up
 	surveyGap  = 1 * sec
 )
 
@@ -64,7 +65,7 @@
 // Learn takes one connection's load.
 func (f *Fleet) Learn(load float64) {
 	f.seen = min(f.seen+1, meanMemory)
-	f.mean += (load - f.mean) / f.seen
+	f.mean += (load - f.mean) / (f.seen + doubt)
 }
 
 // Hinted takes what a connection is guessed to load, until enough loads are known.
@@ -156,9 +157,11 @@
 }
 
 // Fits tells whether the server can do one more connection of this load, whose class is worth this part (0 to 1) of the
-// one that is worth most.
+// one that is worth most. While less than half is asked of the server it takes any: a connection that would fill a server
+// by itself finds no better place by being refused.
 func (g *Gauge) Fits(f *Fleet, warmth, load float64, grouped bool, worth float64) bool {
-	return g.Used(f, warmth)+g.add(f, warmth, load, grouped) <= leastFull+(mostFull-leastFull)*worth
+	full := leastFull + (mostFull-leastFull)*worth
+	return g.Used(f, warmth)+min(g.add(f, warmth, load, grouped), full/2) <= full
 }
 
 // Appeal is how likely the server is to be picked for a connection of this load: the less, the more it takes of the
--- a/decide/setups/setups.go
+++ b/decide/setups/setups.go
@@ -39,23 +39,30 @@
 // New returns the pace of a balancer that has seen no set-up yet.
 func New() Pace { return Pace{Width: widthStart} }
 
-// Stood notes a set-up that came to stand after took.
-func (p *Pace) Stood(took float64) {
-	p.failing -= p.failing * failMemory
-	p.tries, p.goods = p.tries+1, p.goods+1
-	p.timed(took)
-}
+// End is how a set-up ended.
+type End uint8
 
-// Failed notes one that failed inside a server.
-func (p *Pace) Failed() {
-	p.failing += (1 - p.failing) * failMemory
-	p.tries++
-}
+// The ends; Unheard says nothing of how set-ups go.
+const (
+	Unheard  End = iota
+	Stood        // it came to stand
+	Failed       // inside a server
+	TimedOut     // no answer came
+)
 
-// TimedOut notes one that had no answer within took.
-func (p *Pace) TimedOut(took float64) {
-	p.Failed()
-	p.timed(took)
+// Ended notes the end of a set-up that took so long.
+func (p *Pace) Ended(end End, took float64) {
+	switch end {
+	case Stood:
+		p.failing -= p.failing * failMemory
+		p.tries, p.goods = p.tries+1, p.goods+1
+	case Failed, TimedOut:
+		p.failing += (1 - p.failing) * failMemory
+		p.tries++
+	}
+	if end == Stood || end == TimedOut {
+		p.timed(took)
+	}
 }
 
 // NotBegun notes one that was refused by Refuses.
--- /dev/null
+++ b/decide/setups/setups_test.go
@@ -0,0 +1,73 @@
+package setups
+
+import "testing"
+
+func after(ends ...End) Pace {
+	p := New()
+	for _, e := range ends {
+		p.Ended(e, 20*ms)
+	}
+	return p
+}
+
+func many(n int, e End) []End {
+	ends := make([]End, n)
+	for i := range ends {
+		ends[i] = e
+	}
+	return ends
+}
+
+// Most failing is a cause that all share; a few, or what says nothing, is not.
+func TestShared(t *testing.T) {
+	for _, c := range []struct {
+		ends []End
+		want bool
+	}{
+		{nil, false}, {many(20, Failed), true}, {many(20, TimedOut), true}, {many(100, Unheard), false},
+		{append(many(20, Failed), many(20, Stood)...), false}, {append(many(20, Stood), Failed, TimedOut), false},
+	} {
+		if p := after(c.ends...); p.Shared() != c.want {
+			t.Errorf("%v: shared %v", c.ends, !c.want)
+		}
+	}
+}
+
+// While nothing comes to stand hardly more is begun, with the fleet's free tries shared out; what stands opens it again.
+func TestRefuses(t *testing.T) {
+	p := after(many(300, Failed)...)
+	if r := p.Refuses(1); r < 0.4 || r >= 0.5 { // 300 tries, 160 free
+		t.Errorf("a lone balancer refuses %v", r)
+	}
+	if r := p.Refuses(0.01); r < 0.98 {
+		t.Errorf("one of a hundred refuses %v", r)
+	}
+	for range 300 {
+		p.Ended(Stood, 20*ms)
+	}
+	if r := p.Refuses(0.01); r != 0 {
+		t.Errorf("half stand, and it still refuses %v", r)
+	}
+	p = after(many(300, Failed)...)
+	for range 400 {
+		p.Fade()
+	}
+	if r := p.Refuses(0); r > 0.02 {
+		t.Errorf("refuses %v long after", r)
+	}
+}
+
+// Slow set-ups narrow what is under way, timed-out ones as well; quick ones widen it, within bounds.
+func TestWidth(t *testing.T) {
+	for took, want := range map[float64]int{20 * ms: widthMost, 900 * ms: widthLeast} {
+		for _, e := range []End{Stood, TimedOut} {
+			p := New()
+			for range 100 {
+				p.Ended(e, took)
+			}
+			if !p.Room(want-1) || p.Room(want) {
+				t.Errorf("width %v after set-ups of %v, want %d", p.Width, took, want)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/example/toy/discovery.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// beat is how often a watch says something: an empty line, or, where weights fall with use, the list with those of now.
+const beat = time.Second
+
+// discovery lists the nodes, whole, whenever one of them has changed.
+type discovery struct {
+	nodes  []*node
+	pushed bool
+
+	mu         sync.Mutex
+	generation int
+	changed    chan struct{}
+}
+
+// tell has all watches say the list.
+func (d *discovery) tell() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.generation++
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+func (d *discovery) list() (string, chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var items []string
+	for _, n := range d.nodes {
+		items = append(items, n.entry())
+	}
+	return fmt.Sprintf(`{"generation":%d,"reset":true,"instances":[%s]}`, d.generation, strings.Join(items, ",")), d.changed
+}
+
+// ServeHTTP answers with the list, or watches it.
+func (d *discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/api/targets" {
+		http.NotFound(w, r)
+		return
+	}
+	text, changed := d.list()
+	if r.URL.Query().Get("stream") == "" {
+		_, _ = fmt.Fprintln(w, text)
+		return
+	}
+	out := http.NewResponseController(w)
+	for {
+		if _, err := fmt.Fprintln(w, text); err != nil || out.Flush() != nil {
+			return
+		}
+		select {
+		case <-changed:
+			text, changed = d.list()
+		case <-time.After(beat):
+			if text = ""; d.pushed {
+				text, changed = d.list()
+			}
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/example/toy/node.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+)
+
+const (
+	cores = 2.0
+	// usual is the load of a connection that brings no hint, in microseconds of work a second.
+	usual = 50_000.0
+	core  = 1_000_000.0 // what one core does, the same
+)
+
+// node is one toy server.
+type node struct {
+	name, addr string
+	tells      bool // its load
+
+	mu       sync.Mutex
+	draining bool
+	loads    map[net.Conn]float64 // of the connections that it holds
+}
+
+func (n *node) accept(ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			log.Fatal(err)
+		}
+		go n.serve(c)
+	}
+}
+
+// serve answers PING and STATS, takes OPEN unless it drains, and then sends every line back. A client's "work N" sets the
+// load of its connection, where loads are told.
+func (n *node) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	in := bufio.NewScanner(c)
+	for in.Scan() {
+		verb, rest, _ := strings.Cut(in.Text(), " ")
+		switch {
+		case verb == "PING":
+			say(c, "PONG")
+			continue
+		case verb == "STATS" && n.tells:
+			say(c, n.report())
+			continue
+		case verb != "OPEN":
+			say(c, "SYNTAX")
+			return
+		}
+		load := hint(rest)
+		if !n.enter(c, load) {
+			say(c, "BUSY")
+			return
+		}
+		defer n.leave(c)
+		say(c, "UP "+n.name)
+		n.tell(c, load)
+		for in.Scan() {
+			say(c, in.Text())
+			if load, ok := strings.CutPrefix(in.Text(), "work "); ok {
+				n.tell(c, number(load, usual))
+			}
+		}
+		return
+	}
+}
+
+// say writes a line; a client that has gone shows at the next read.
+func say(c net.Conn, text string) { _, _ = fmt.Fprintf(c, "%s\r\n", text) }
+
+// hint is the load that an OPEN line leads to expect.
+func hint(first string) float64 {
+	for _, pair := range strings.Split(first[strings.LastIndexByte(first, ' ')+1:], ",") {
+		if value, ok := strings.CutPrefix(pair, "h="); ok {
+			return number(value, usual)
+		}
+	}
+	return usual
+}
+
+func number(text string, otherwise float64) float64 {
+	if v, err := strconv.ParseFloat(text, 64); err == nil && v >= 0 {
+		return v
+	}
+	return otherwise
+}
+
+// tell notes a connection's load, and says it on the connection.
+func (n *node) tell(c net.Conn, load float64) {
+	if !n.tells {
+		return
+	}
+	n.mu.Lock()
+	n.loads[c] = load
+	n.mu.Unlock()
+	say(c, fmt.Sprintf("LOAD %.0f", load))
+}
+
+// report is the answer to STATS: nothing waits at a toy, and x0 is what is asked of it over what it can do.
+func (n *node) report() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sum := 0.0
+	for _, load := range n.loads {
+		sum += load
+	}
+	return fmt.Sprintf("PONG queue=0,qps=0,x0=%.3f", sum/(cores*core))
+}
+
+func (n *node) enter(c net.Conn, load float64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.draining {
+		n.loads[c] = load
+	}
+	return !n.draining
+}
+
+func (n *node) leave(c net.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.loads, c)
+}
+
+func (n *node) drain() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.draining = true
+	for c := range n.loads {
+		say(c, "MOVE")
+		_ = c.Close()
+	}
+}
+
+// entry is the node as discovery lists it.
+func (n *node) entry() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	state, weight := "Ready", 1.0
+	if n.draining {
+		state = "Terminating"
+	}
+	if n.tells {
+		weight = cores / (1 + float64(len(n.loads))/cores)
+	}
+	return fmt.Sprintf(`{"instanceId":%q,"hostPort":%q,"zone":"here","machineType":"toy","cell":0,"lifecycle":%q,`+
+		`"weight":%.3f,"startedAtMs":0}`, n.name, n.addr, state, weight)
+}
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -92,7 +92,7 @@
 	r.l.After(drainLook, r.drained)
 }
 
-// evacuateAll moves every standing connection, spread over the span, for all clients moved at one moment would come
+// evacuateAll moves every standing connection, spread within the span, for all clients moved at one moment would come
 // back in one moment.
 func (r *Relay) evacuateAll(span loop.Micros) {
 	r.startDrain()
@@ -109,7 +109,7 @@
 	}
 }
 
-// moveStanding moves what stands over what is left of the span since the drain began.
+// moveStanding moves what stands within what is left of the span since the drain began.
 func (r *Relay) moveStanding(span loop.Micros) {
 	round, left := r.drain.round, max(span-(r.l.Now()-r.drain.began), 0)
 	var standing []*session
@@ -122,7 +122,7 @@
 		r.l.After(0, m.goodbye)
 	}
 	for i, s := range standing {
-		r.l.After(drainFirst+left*loop.Micros(i)/loop.Micros(len(standing)), func() {
+		r.l.After(moveAt(left, i, len(standing)), func() {
 			if r.drain.round == round {
 				s.leave(logic.Cancelled, true)
 			}
@@ -143,6 +143,12 @@
 	})
 }
 
+// moveAt is when the i-th of n that stand is moved, where all are to be within the span: spread over its second half. Until
+// then each is served; and where balancers are restarted one after another, the one before this may still be away.
+func moveAt(span loop.Micros, i, n int) loop.Micros {
+	return max(drainFirst, span/2) + span/2*loop.Micros(i)/loop.Micros(n)
+}
+
 // shedding tells whether a new request is to be refused: all while stopping, unless handed over; a lame duck, and one
 // that handed over, take what still comes for a moment (and move it soon), but no more after that.
 func (r *Relay) shedding() bool {
--- a/internal/relay/lameduck_test.go
+++ b/internal/relay/lameduck_test.go
@@ -144,3 +144,19 @@
 	g.stopped <- err
 	g.check(err)
 }
+
+// Moves before a stop are spread, so that clients don't come back in one moment, over the second half of the time there is.
+func TestMovesAreLateAndSpread(t *testing.T) {
+	const span, n = 3 * sec, 50
+	last := span / 2
+	for i := range n {
+		at := moveAt(span, i, n)
+		if at < last || at >= span || i > 0 && at-last > span/2/n {
+			t.Fatalf("move %d at %d, after one at %d", i, at, last)
+		}
+		last = at
+	}
+	if at := moveAt(0, 0, 1); at != drainFirst {
+		t.Errorf("with no time left at %d", at)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,9 +39,10 @@
 	retryMost  = 60.0 // saved up by all balancers together; each may save up two
 
 	// Slow servers.
-	moveSetUp = 0.4 // of a class's aim: while set-ups take longer, nothing of it is moved
-	shedAt    = 1.5 // of a class aim: moved though no other server has room
-	moveMost  = 0.7 // of its connections, at one note
+	moveSetUp  = 0.4 // of a class's aim: while set-ups take longer, nothing of it is moved
+	shedAt     = 1.5 // of a class aim: moved though no other server has room
+	moveMost   = 0.7 // of its connections, at one note
+	drainSteps = 8   // a draining server loses a part in so many a tick: half of all in 1.5 s
 
 	loadFull   = 0.85     // of its capacity asked: no validation
 	fullPause  = 300 * ms // nothing new to a server that turned an attempt away as full
@@ -507,7 +508,7 @@
 		}
 		if now < s.shutUntil || s.triedBy == r.id+1 || !b.room(now, r, s) ||
 			(share < 1 && (r.price == 0 || !b.coldRoom(now, s, share))) || b.fleet.Told &&
-			!s.Fits(&b.fleet, share, r.load, s.groups[r.group] > 0, r.class.WorthPart) {
+			!s.Fits(&b.fleet, share, r.load, s.holds(r), r.class.WorthPart) {
 			continue
 		}
 		// The least of exponential draws with these rates falls on each server by its share.
@@ -539,7 +540,7 @@
 		return size
 	}
 	if b.fleet.Told {
-		return s.Appeal(&b.fleet, b.warmth(now, s), r.load, s.groups[r.group] > 0, b.away(s) == 1)
+		return s.Appeal(&b.fleet, b.warmth(now, s), r.load, s.holds(r), b.away(s) == 1)
 	}
 	load := float64(len(s.conns)+s.pending) + groupLoad*float64(len(s.groups))
 	appeal := size * math.Pow(1+load/(evenLeast*size), -evenness)
@@ -627,6 +628,9 @@
 	r.at.conns = append(r.at.conns, r)
 }
 
+// holds tells that r brings s no group that it does not have.
+func (s *server) holds(r *request) bool { return r.group == 0 || s.groups[r.group] > 0 }
+
 // bear counts a request's load to the server that has it.
 func (b *Balancer) bear(s *server, r *request) {
 	r.borne = s
@@ -644,10 +648,7 @@
 		return
 	}
 	r.borne = nil
-	s.Own, s.Conns = s.Own-r.load, s.Conns-1
-	if s.Conns == 0 {
-		s.Own = 0
-	}
+	s.Own, s.Conns = max(s.Own-r.load, 0), s.Conns-1
 	if s.groups[r.group]--; s.groups[r.group] <= 0 {
 		delete(s.groups, r.group)
 	}
@@ -804,16 +805,10 @@
 	b.place(now, r)
 }
 
-func (b *Balancer) tally(st Status, took Micros) {
-	switch st {
-	case OK:
-		b.pace.Stood(float64(took))
-	case ErrorAnswer:
-		b.pace.Failed()
-	case TimedOut:
-		b.pace.TimedOut(float64(took))
-	}
-}
+// setUpEnds are the outcomes that tell how set-ups go.
+var setUpEnds = map[Status]setups.End{OK: setups.Stood, ErrorAnswer: setups.Failed, TimedOut: setups.TimedOut}
+
+func (b *Balancer) tally(st Status, took Micros) { b.pace.Ended(setUpEnds[st], float64(took)) }
 
 // judge draws a server's health from how an attempt ended.
 func (b *Balancer) judge(now Micros, s *server, st Status, wasOpen bool) {
@@ -895,7 +890,8 @@
 	}
 }
 
-// spread moves connections off servers that are asked for more than they can do, as far as others have room.
+// spread moves connections off servers that are asked for more than they can do, as far as others have room,
+// and off draining ones, step by step: what still stands when they stop is cut off, and comes back at once.
 func (b *Balancer) spread(now Micros) {
 	room := 0.0
 	for _, s := range b.servers {
@@ -907,6 +903,12 @@
 		if excess := s.Excess(int64(now), &b.fleet, b.warmth(now, s)); b.fleet.Told && s.State == Ready {
 			room -= b.lighten(now, s, min(excess, room))
 		}
+		for i, n := len(s.conns)-1, len(s.conns); s.State == Draining && i >= 0 && n > 0; i-- {
+			if r := s.conns[i]; !r.resumes { // those are moved by a plan of their own
+				b.move(now, r, false)
+				n -= drainSteps
+			}
+		}
 	}
 }
 
