--- /dev/null
+++ b/decide/member/member.go
@@ -0,0 +1,456 @@
+// Package member decides who is in the fleet of balancers: who is alive, suspected, dead or has left, by which incarnation
+// and since when, as one member sees it. It is handed time and messages and says what to send; it has no sockets, no clock
+// and no randomness but its seed, and all that it holds is bounded.
+//
+// The invariant: a member is held dead only by those who could not reach it themselves at the end of a suspicion of at
+// least Least, or who were told so, and only while two others could not reach it either, where there are two; what a member
+// says of itself under a newer incarnation always stands over what others say of an older one.
+package member
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+)
+
+// Spans, in microseconds.
+const (
+	ms  int64 = 1000
+	sec       = 1000 * ms
+)
+
+const (
+	// Watchers is how many members watch each: enough that a pause of one, or one cut link, leaves three, and that the first
+	// of them asks within a third of a second of a crash on average.
+	Watchers = 4
+	// Turn is the time between two pings of a member to those that it watches: each is asked once in Watchers turns.
+	Turn = 250 * ms
+	// Step is how often Tick is to be called.
+	Step = 50 * ms
+
+	ackWait   = 150 * ms // from a ping to the asking of helpers, on a link of no known delay
+	probeTime = 500 * ms // from a ping to the verdict, the same
+	probeMost = 2 * sec  // both grow with the link's delay, the verdict up to this
+	helpers   = 3        // asked to ping a member that does not answer
+	// Least is the least time of a suspicion before its member is held dead. With probeTime before it, a member that was
+	// paused for 2 s has half a second left to say that it is there, and a crash is seen by all in some 3 s.
+	Least = 2000 * ms
+	// Most is the same for one that only one other member has confirmed nothing of.
+	Most        = 6 * sec
+	pendingTime = 3 * sec  // an accusation that nobody confirms is forgotten after this
+	confirms    = 2        // members that must have failed to reach one by themselves, where there are so many
+	ownTry      = 4 * sec  // whoever has held one suspected for so long asks by himself
+	aloneTime   = 1 * sec  // hearing nobody for so long is a reason to doubt oneself
+	pauseTime   = 300 * ms // the same, without a Tick
+	doubtTime   = 1 * sec  // no accusation for so long after a pause
+
+	sweepMost = 4 // pings of a sweep at each Step
+
+	gossipTime  = 100 * ms
+	gossipTo    = 3 // members that news goes to at each gossipTime, besides going along with all else
+	freshSends  = 4 // a news item makes packets of its own until it was sent so often
+	maxNews     = 1024
+	maxAccusers = 8
+	// MaxRumors is how many go along in one message: with names of usual length a message stays within 1,200 bytes.
+	MaxRumors = 12
+
+	reviveTime = 500 * ms // one of the dead is asked, so that a healed cut is noticed
+	forgetTime = 600 * sec
+	syncTime   = 1 * sec // views are compared at most so often
+	differTime = 1 * sec // news mostly comes by itself: views that differ for longer are compared
+	syncParts  = 4       // messages of entries in answer to one comparison
+	// Buckets is how many parts of a view are compared by their sums.
+	Buckets = 64
+	// MaxMembers bounds a view; more than a fleet has, and than a forger with the key could fill memory with.
+	MaxMembers = 4096
+	maxRelays  = 128
+)
+
+// ID stands for a member's name.
+type ID uint64
+
+// State is what a member is held to be. Later ones count more where incarnations are the same.
+type State uint8
+
+// The states. Unknown is no member's: it says that one was never heard of.
+const (
+	Unknown State = iota
+	Alive
+	Suspect
+	Dead
+	Left
+)
+
+func (s State) String() string {
+	return [...]string{"unknown", "alive", "suspect", "dead", "left"}[min(s, Left)]
+}
+
+// Self is who a member is.
+type Self struct {
+	ID       ID
+	Name     string
+	Addr     netip.AddrPort
+	Instance uint64 // of this process, different from any other that has had the name; later ones are larger
+}
+
+// Rumor is news of a member. Name, Addr and Instance are those that it has under Inc.
+type Rumor struct {
+	ID       ID
+	State    State
+	Inc      uint64
+	By       ID // who could not reach it, of Suspect and Dead
+	Instance uint64
+	Name     string
+	Addr     netip.AddrPort
+}
+
+// Kind is what a message is for.
+type Kind uint8
+
+// The kinds of messages.
+const (
+	Ping    Kind = iota + 1 // answered by Ack with the same Seq
+	Ack                     // About is whom it was asked about, or 0
+	Ask                     // to ping About, and pass its Ack on
+	Gossip                  // carries rumors only
+	Compare                 // carries the sums of a view's buckets
+	Entries                 // carries rumors of buckets that differ
+	maxKind = Entries
+)
+
+// Message is one datagram's content.
+type Message struct {
+	Kind     Kind
+	Seq      uint32
+	From     ID
+	Inc      uint64 // of From
+	Instance uint64 // of From
+	You      State  // what From holds the receiver to be, and under which incarnation
+	YouInc   uint64
+	About    ID
+	Got      uint32 // of Ack: how many pings of the receiver have come
+	Back     bool   // of Compare: this is an answer, to be answered by Entries only
+	Digest   uint64 // of From's view
+	Sums     []uint32
+	Rumors   []Rumor
+}
+
+// Send is a message to be sent.
+type Send struct {
+	To  netip.AddrPort
+	ID  ID // whom it is for, 0 where that is not known
+	Msg Message
+}
+
+// Change says that the view has changed.
+type Change struct {
+	ID       ID
+	Name     string
+	From, To State
+	Inc      uint64
+}
+
+// Config is what a member is started with.
+type Config struct {
+	Self    Self
+	Inc     uint64 // the first incarnation: later than any before, as far as the clock tells
+	Seeds   []netip.AddrPort
+	Seed    uint64
+	MaxSize int // members at most, MaxMembers where 0
+}
+
+// peer is another member.
+type peer struct {
+	Self
+	hash    [Watchers]uint64
+	state   State
+	inc     uint64
+	since   int64 // in this state
+	heard   int64 // anything from it
+	differs int64 // since its view has differed from this one's, 0 while it does not
+
+	accusers  []ID
+	suspectAt int64
+	mine      bool // the last probe of this member's own failed, at this incarnation
+	triedAt   int64
+
+	probe *probe
+	rtt   float64 // of answered pings, microseconds
+	// Pings sent and answered, and how many of them it says have come; got is how many of its own have come. They fade.
+	sent, answered, told, got float64
+	gotAll, toldAll           uint32
+}
+
+// probe is the question to one peer under way.
+type probe struct {
+	seq   uint32
+	began int64
+	asked bool // helpers are
+}
+
+// relayed is a ping sent for another member.
+type relayed struct {
+	mine, theirs uint32
+	for_         ID
+	about        ID
+	until        int64
+}
+
+// news is a rumor that is being spread.
+type news struct {
+	Rumor
+	sent int
+}
+
+// Fleet is the fleet as one member sees it.
+type Fleet struct {
+	cfg    Config
+	rng    *rand.Rand
+	self   Self
+	inc    uint64
+	peers  map[ID]*peer
+	order  []*peer // by when they became known
+	rings  [Watchers][]*peer
+	hash   [Watchers]uint64
+	watch  []*peer // still to be pinged in this round
+	seq    uint32
+	relays []relayed
+	spread []news
+	digest uint64
+	sums   [Buckets]uint64
+	lost   map[uint32]lostPing // pings given up lately, whose answer may still come
+
+	ticked, heard       int64
+	turnAt, gossipAt    int64
+	reviveAt, syncAt    int64
+	doubtUntil, joinAt  int64
+	joined, leaving     bool
+	superseded          bool
+	superseder          uint64
+	out                 []Send
+	changes             []Change
+	Pauses, Accusations int // counted for the log
+	share               share
+}
+
+type lostPing struct {
+	id ID
+	at int64
+}
+
+// New returns a member that knows nobody yet.
+func New(cfg Config, now int64) *Fleet {
+	if cfg.MaxSize <= 0 || cfg.MaxSize > MaxMembers {
+		cfg.MaxSize = MaxMembers
+	}
+	f := &Fleet{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Self.ID))), self: cfg.Self, inc: max(cfg.Inc, 1),
+		peers: map[ID]*peer{}, ticked: now, heard: now, turnAt: now, reviveAt: now + reviveTime, lost: map[uint32]lostPing{}}
+	f.hash = hashes(f.self.ID)
+	f.mix(f.self.ID, f.inc, Alive)
+	f.announce()
+	return f
+}
+
+// hashes places a member on each ring.
+func hashes(id ID) (h [Watchers]uint64) {
+	for k := range h {
+		h[k] = blend(uint64(id) + uint64(k+1)*0x9e3779b97f4a7c15)
+	}
+	return h
+}
+
+// blend is the finalizer of splitmix64: each bit of the result depends on all of x.
+func blend(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// take returns what is to be sent and what has changed since the last call.
+func (f *Fleet) take() ([]Send, []Change) {
+	out, changes := f.out, f.changes
+	f.out, f.changes = nil, nil
+	return out, changes
+}
+
+// Tick does what is due. It is called every Step; one that comes much later says that this process was paused.
+func (f *Fleet) Tick(now int64) ([]Send, []Change) {
+	if f.superseded {
+		return nil, nil
+	}
+	if now-f.ticked > pauseTime {
+		f.paused(now)
+	}
+	f.ticked = now
+	if !f.leaving {
+		f.join(now)
+		f.turn(now)
+		f.judge(now)
+		f.revive(now)
+	}
+	f.gossip(now)
+	f.tidy(now)
+	f.share.note(now, f.count(Alive)+f.count(Suspect)+1, len(f.order)+1)
+	return f.take()
+}
+
+// paused takes back what was under way: answers may wait unread, and all that was suspected has had no time to be
+// refuted here.
+func (f *Fleet) paused(now int64) {
+	f.Pauses++
+	f.doubtUntil = now + doubtTime
+	f.heard = now
+	for _, p := range f.order {
+		p.probe, p.mine = nil, false
+		if p.state == Suspect {
+			p.suspectAt = now
+		}
+	}
+}
+
+// Doubts tells whether this member has reason to doubt itself rather than others: it was paused, or hears nobody.
+func (f *Fleet) Doubts(now int64) bool {
+	return now < f.doubtUntil || f.alone(now)
+}
+
+// alone tells that nobody was heard for a while. With one other member that may as well be dead: after Most it is
+// taken for that.
+func (f *Fleet) alone(now int64) bool {
+	others := len(f.rings[0])
+	return others > 0 && now-f.heard > aloneTime && (others > 1 || now-f.heard < Most)
+}
+
+// join asks the seeds until one has answered, and again while nobody is known to be alive.
+func (f *Fleet) join(now int64) {
+	if f.joined && len(f.rings[0]) > 0 || now < f.joinAt {
+		return
+	}
+	f.joinAt = now + Turn*2 + f.jitter(Turn)
+	for _, to := range f.cfg.Seeds {
+		if to != f.self.Addr {
+			f.send(to, nil, Message{Kind: Compare, Sums: f.sum()})
+		}
+	}
+}
+
+// Seeds takes the addresses that the seeds have now.
+func (f *Fleet) Seeds(addrs []netip.AddrPort) { f.cfg.Seeds = addrs }
+
+func (f *Fleet) jitter(d int64) int64 { return f.rng.Int64N(max(d, 1)) }
+
+// Leave has all told that this member goes. What it returns is sent at once; Tick goes on spreading it.
+func (f *Fleet) Leave(now int64) ([]Send, []Change) {
+	if f.leaving || f.superseded {
+		return f.take()
+	}
+	f.leaving = true
+	f.mix(f.self.ID, f.inc, Alive)
+	f.mix(f.self.ID, f.inc, Left)
+	f.tell(f.own(Left))
+	for _, p := range f.some(2*Watchers, func(p *peer) bool { return p.state == Alive }) {
+		f.send(p.Addr, p, Message{Kind: Gossip, Rumors: []Rumor{f.own(Left)}})
+	}
+	return f.take()
+}
+
+// own is news of this member itself.
+func (f *Fleet) own(s State) Rumor {
+	return Rumor{ID: f.self.ID, State: s, Inc: f.inc, Instance: f.self.Instance, Name: f.self.Name, Addr: f.self.Addr}
+}
+
+func (f *Fleet) announce() { f.tell(f.own(Alive)) }
+
+// rise answers what others say of an incarnation of this member's.
+func (f *Fleet) rise(over uint64) {
+	f.mix(f.self.ID, f.inc, Alive)
+	f.inc = over + 1
+	f.mix(f.self.ID, f.inc, Alive)
+	f.announce()
+}
+
+// some draws members.
+func (f *Fleet) some(n int, fit func(*peer) bool) []*peer {
+	var fits []*peer
+	for _, p := range f.order {
+		if fit(p) {
+			fits = append(fits, p)
+		}
+	}
+	for i := range min(n, len(fits)) {
+		j := i + f.rng.IntN(len(fits)-i)
+		fits[i], fits[j] = fits[j], fits[i]
+	}
+	return fits[:min(n, len(fits))]
+}
+
+func (f *Fleet) count(s State) (n int) {
+	for _, p := range f.order {
+		if p.state == s {
+			n++
+		}
+	}
+	return n
+}
+
+// mix puts a member's entry into the view's sums, or takes it out again.
+func (f *Fleet) mix(id ID, inc uint64, s State) {
+	if s == Suspect {
+		s = Alive // suspicions come and go by themselves
+	}
+	h := blend(uint64(id) ^ blend(inc^uint64(s)<<56))
+	f.digest ^= h
+	f.sums[uint64(id)%Buckets] ^= h
+}
+
+func (f *Fleet) sum() []uint32 {
+	out := make([]uint32, Buckets)
+	for i, s := range f.sums {
+		out[i] = uint32(s ^ s>>32)
+	}
+	return out
+}
+
+// send sends a message to an address, of a peer where one is known there.
+func (f *Fleet) send(to netip.AddrPort, p *peer, m Message) {
+	m.From, m.Inc, m.Instance, m.Digest = f.self.ID, f.inc, f.self.Instance, f.digest
+	if p != nil {
+		m.You, m.YouInc = p.state, p.inc
+	}
+	id := ID(0)
+	if p != nil {
+		id = p.ID
+	}
+	if room := MaxRumors - len(m.Rumors); m.Kind != Entries && room > 0 {
+		m.Rumors = append(m.Rumors, f.pick(room)...)
+	}
+	f.out = append(f.out, Send{to, id, m})
+}
+
+// place is where a peer stands, or would stand, on a ring.
+func place(ring []*peer, hash uint64, k int, id ID) (int, bool) {
+	return slices.BinarySearchFunc(ring, hash, func(p *peer, h uint64) int {
+		switch {
+		case p.hash[k] < h || p.hash[k] == h && p.ID < id:
+			return -1
+		case p.hash[k] == h && p.ID == id:
+			return 0
+		}
+		return 1
+	})
+}
+
+func (f *Fleet) ringIn(p *peer) {
+	for k := range f.rings {
+		if at, there := place(f.rings[k], p.hash[k], k, p.ID); !there {
+			f.rings[k] = slices.Insert(f.rings[k], at, p)
+		}
+	}
+}
+
+func (f *Fleet) ringOut(p *peer) {
+	for k := range f.rings {
+		if at, there := place(f.rings[k], p.hash[k], k, p.ID); there {
+			f.rings[k] = slices.Delete(f.rings[k], at, at+1)
+		}
+	}
+}
--- /dev/null
+++ b/decide/member/receive.go
@@ -0,0 +1,97 @@
+package member
+
+import "net/netip"
+
+// Receive takes a message that came from an address; whose it is was proved before.
+func (f *Fleet) Receive(now int64, from netip.AddrPort, m Message) ([]Send, []Change) {
+	if f.superseded || m.Kind == 0 || m.Kind > maxKind || len(m.Rumors) > MaxRumors {
+		return nil, nil
+	}
+	if m.From == f.self.ID {
+		if m.Instance != f.self.Instance {
+			f.rival(m.Instance, m.Inc)
+		}
+		return f.take()
+	}
+	f.heard = now
+	p := f.peers[m.From]
+	if p != nil {
+		p.heard = now
+		f.header(now, p, from, m)
+	}
+	if m.You > Alive && m.YouInc >= f.inc && !f.leaving {
+		f.rise(m.YouInc)
+	} else if m.You == Alive && m.YouInc > f.inc && !f.leaving {
+		f.rise(m.YouInc)
+	}
+	// What those say whom this member holds dead is old, but for what they say of themselves: it would set a side of a
+	// healed cut against its own.
+	for _, r := range m.Rumors {
+		if p == nil || p.state < Dead || r.ID == m.From || r.ID == f.self.ID || r.State == Alive {
+			f.hear(now, r)
+		}
+	}
+	if p = f.peers[m.From]; p != nil && p.state < Dead && m.Kind != Compare && m.Kind != Entries {
+		f.compare(now, p, m.Digest)
+	}
+	f.act(now, from, p, m)
+	return f.take()
+}
+
+// header takes what a message says of its sender by being sent: under a newer incarnation it lives.
+func (f *Fleet) header(now int64, p *peer, from netip.AddrPort, m Message) {
+	if m.Inc > p.inc && (m.Instance == p.Instance || p.Instance == 0) {
+		f.hear(now, Rumor{ID: p.ID, State: Alive, Inc: m.Inc, Instance: m.Instance, Name: p.Name, Addr: from})
+	}
+}
+
+// act does what the message asks.
+func (f *Fleet) act(now int64, from netip.AddrPort, p *peer, m Message) {
+	reply := func(a Message) { f.send(from, p, a) }
+	switch m.Kind {
+	case Ping:
+		a := Message{Kind: Ack, Seq: m.Seq}
+		if p != nil {
+			p.got++
+			p.gotAll++
+			a.Got = p.gotAll
+		}
+		reply(a)
+	case Ack:
+		f.ack(now, p, m)
+	case Ask:
+		if about := f.peers[m.About]; about != nil && p != nil && len(f.relays) < maxRelays {
+			f.seq++
+			f.relays = append(f.relays, relayed{f.seq, m.Seq, m.From, m.About, now + probeMost})
+			f.send(about.Addr, about, Message{Kind: Ping, Seq: f.seq})
+		}
+	case Compare:
+		f.entries(m, reply)
+		if !m.Back {
+			reply(Message{Kind: Compare, Back: true, Sums: f.sum()})
+		}
+	case Entries:
+		f.joined = true
+	}
+}
+
+func (f *Fleet) ack(now int64, p *peer, m Message) {
+	if m.About != 0 { // a helper has reached it
+		f.answered(now, m.About, m.Seq, false)
+		return
+	}
+	for i, r := range f.relays {
+		if r.mine == m.Seq && r.about == m.From {
+			f.relays = append(f.relays[:i], f.relays[i+1:]...)
+			if to := f.peers[r.for_]; to != nil {
+				f.send(to.Addr, to, Message{Kind: Ack, Seq: r.theirs, About: r.about})
+			}
+			return
+		}
+	}
+	if p != nil && m.Got > p.toldAll {
+		p.told += float64(m.Got - p.toldAll)
+		p.toldAll = m.Got
+	}
+	f.answered(now, m.From, m.Seq, true)
+}
--- /dev/null
+++ b/decide/member/rumor.go
@@ -0,0 +1,211 @@
+package member
+
+import (
+	"math/bits"
+	"slices"
+)
+
+// hear takes news, from whomever, and passes on what is new.
+func (f *Fleet) hear(now int64, r Rumor) {
+	if r.ID == f.self.ID {
+		f.hearOwn(r)
+		return
+	}
+	p := f.peers[r.ID]
+	if p == nil {
+		f.meet(now, r)
+		return
+	}
+	if r.Inc < p.inc || r.Inc == p.inc && r.State < p.state {
+		return
+	}
+	if r.Inc == p.inc && r.State == Suspect {
+		f.accused(now, p, r)
+		return
+	}
+	if r.State == Suspect { // under an incarnation that was not heard of: it lives there
+		alive := r
+		alive.State, alive.By = Alive, 0
+		f.become(now, p, alive)
+		f.accused(now, p, r)
+		return
+	}
+	if r.Inc > p.inc || r.State != p.state {
+		f.become(now, p, r)
+	}
+}
+
+// hearOwn takes what is said of this member itself.
+func (f *Fleet) hearOwn(r Rumor) {
+	switch {
+	case f.leaving:
+	case r.State != Alive && r.Inc >= f.inc:
+		f.rise(r.Inc)
+	case r.State == Alive && r.Instance != f.self.Instance && r.Instance != 0:
+		f.rival(r.Instance, r.Inc)
+	case r.State == Alive && r.Inc > f.inc:
+		f.rise(r.Inc) // from before this process, whose clock was ahead
+	}
+}
+
+// rival is another process that has this member's name. The later one is the member: a new version beside the old one is,
+// and of two that claim a name by mistake at least one stays.
+func (f *Fleet) rival(instance, inc uint64) {
+	if instance > f.self.Instance {
+		f.superseded, f.superseder = true, instance
+	} else if inc >= f.inc {
+		f.rise(inc)
+	}
+}
+
+// meet takes a member that was not known. Who is said to be dead and was never known is no news.
+func (f *Fleet) meet(now int64, r Rumor) {
+	if r.State != Alive && r.State != Suspect || !r.Addr.IsValid() || len(f.peers) >= f.cfg.MaxSize {
+		return
+	}
+	p := &peer{Self: Self{r.ID, r.Name, r.Addr, r.Instance}, hash: hashes(r.ID), inc: r.Inc, state: Alive, since: now, heard: now}
+	f.peers[r.ID] = p
+	f.order = append(f.order, p)
+	f.ringIn(p)
+	f.mix(p.ID, p.inc, Alive)
+	f.changes = append(f.changes, Change{p.ID, p.Name, Unknown, Alive, p.inc})
+	r.State, r.By = Alive, 0
+	f.tell(r)
+}
+
+// become changes what a member is held to be.
+func (f *Fleet) become(now int64, p *peer, r Rumor) {
+	was := p.state
+	f.mix(p.ID, p.inc, was)
+	f.mix(p.ID, r.Inc, r.State)
+	newer := r.Inc > p.inc
+	if p.inc = r.Inc; newer && r.Addr.IsValid() {
+		p.Addr, p.Instance = r.Addr, r.Instance
+	}
+	p.accusers, p.mine, p.state = nil, false, r.State
+	if was != r.State {
+		p.since = now
+		f.changes = append(f.changes, Change{p.ID, p.Name, was, r.State, r.Inc})
+	}
+	if r.State >= Dead {
+		f.ringOut(p)
+		p.probe = nil
+	} else if was >= Dead {
+		f.ringIn(p)
+		p.heard, p.differs = now, 0
+	}
+	f.spread = slices.DeleteFunc(f.spread, func(n news) bool { return n.ID == p.ID })
+	f.tell(r)
+}
+
+// accused adds one that could not reach a member. One alone makes nobody suspect: it may be its own link that is cut. Some of
+// those who hear of it find out for themselves; once there are enough, it is suspected, and all are told.
+func (f *Fleet) accused(now int64, p *peer, r Rumor) {
+	if r.By == 0 || r.By == p.ID || p.state >= Dead || slices.Contains(p.accusers, r.By) || len(p.accusers) >= maxAccusers {
+		return
+	}
+	if len(p.accusers) == 0 {
+		p.suspectAt = now
+	}
+	p.accusers = append(p.accusers, r.By)
+	switch {
+	case p.state == Suspect:
+		f.tell(r)
+	case len(p.accusers) >= f.needed():
+		was := p.state
+		p.state, p.since, p.suspectAt = Suspect, now, max(p.suspectAt, now-probeTime) // from the first, if that is not long ago
+		f.changes = append(f.changes, Change{p.ID, p.Name, was, Suspect, p.inc})
+		for _, by := range p.accusers {
+			r.By = by
+			f.tell(r)
+		}
+	}
+	if !p.mine && !f.leaving {
+		f.second(now, p)
+	}
+}
+
+// tell begins to spread news.
+func (f *Fleet) tell(r Rumor) {
+	f.spread = slices.DeleteFunc(f.spread, func(n news) bool {
+		return n.ID == r.ID && (n.Inc < r.Inc || n.Inc == r.Inc && (n.State < r.State || n.State == r.State && n.By == r.By))
+	})
+	if len(f.spread) < maxNews {
+		f.spread = append(f.spread, news{Rumor: r})
+	}
+}
+
+// sends is how often news is sent by each that has it: the number of rounds that reach all, and some for those lost.
+func (f *Fleet) sends() int { return 2 * bits.Len(uint(len(f.rings[0])+1)) }
+
+// pick chooses the news that was sent least often, and counts it as sent.
+func (f *Fleet) pick(n int) (out []Rumor) {
+	slices.SortStableFunc(f.spread, func(a, b news) int { return a.sent - b.sent })
+	for i := range min(n, len(f.spread)) {
+		out = append(out, f.spread[i].Rumor)
+		f.spread[i].sent++
+	}
+	most := f.sends()
+	f.spread = slices.DeleteFunc(f.spread, func(n news) bool { return n.sent >= most })
+	return out
+}
+
+// gossip sends fresh news on its own.
+func (f *Fleet) gossip(now int64) {
+	if now < f.gossipAt {
+		return
+	}
+	f.gossipAt = now + gossipTime*3/4 + f.jitter(gossipTime/2)
+	fresh := func() bool { return slices.ContainsFunc(f.spread, func(n news) bool { return n.sent < freshSends }) }
+	for _, p := range f.some(gossipTo, func(p *peer) bool { return p.state == Alive || p.state == Suspect }) {
+		if !fresh() {
+			return
+		}
+		f.send(p.Addr, p, Message{Kind: Gossip})
+	}
+}
+
+// compare has views compared that have differed for a while.
+func (f *Fleet) compare(now int64, p *peer, digest uint64) {
+	if digest == f.digest {
+		p.differs = 0
+		f.joined = true
+		return
+	}
+	if p.differs == 0 {
+		p.differs = now
+	}
+	if now-p.differs >= differTime && now >= f.syncAt {
+		f.syncAt, p.differs = now+syncTime+f.jitter(syncTime/2), now
+		f.send(p.Addr, p, Message{Kind: Compare, Sums: f.sum()})
+	}
+}
+
+// entries answers with what this view has in the buckets that differ, as far as a few messages hold; which ones changes
+// with each answer, so that all come in time.
+func (f *Fleet) entries(m Message, reply func(Message)) {
+	if len(m.Sums) != Buckets {
+		return
+	}
+	sums := f.sum()
+	var out []Rumor
+	add := func(id ID, r Rumor) {
+		if b := uint64(id) % Buckets; sums[b] != m.Sums[b] {
+			out = append(out, r)
+		}
+	}
+	if add(f.self.ID, f.own(Alive)); f.leaving {
+		out = nil
+	}
+	for _, p := range f.order {
+		s := p.state
+		if s == Suspect {
+			s = Alive
+		}
+		add(p.ID, Rumor{ID: p.ID, State: s, Inc: p.inc, Instance: p.Instance, Name: p.Name, Addr: p.Addr})
+	}
+	f.rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	for part := range slices.Chunk(out[:min(len(out), syncParts*MaxRumors)], MaxRumors) {
+		reply(Message{Kind: Entries, Rumors: part})
+	}
+}
--- /dev/null
+++ b/decide/member/view.go
@@ -0,0 +1,72 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Member is one of the fleet, as this member sees it.
+type Member struct {
+	Self
+	State    State
+	Inc      uint64
+	Since    int64   // in this state
+	Heard    int64   // the last word of its own
+	RTT      int64   // microseconds, 0 where none is known
+	Out, In  float64 // parts of the pings that are lost on the way there, and of the answers on the way back
+	Accusers int
+}
+
+// View is the whole fleet, this member first, the others by their names.
+func (f *Fleet) View(now int64) []Member {
+	state := Alive
+	if f.leaving {
+		state = Left
+	}
+	out := []Member{{Self: f.self, State: state, Inc: f.inc, Heard: now}}
+	for _, p := range f.order {
+		m := Member{Self: p.Self, State: p.state, Inc: p.inc, Since: p.since, Heard: p.heard, RTT: int64(p.rtt), Accusers: len(p.accusers)}
+		if p.sent >= 1 {
+			m.Out = min(max(1-p.told/p.sent, 0), 1)
+		}
+		if p.told >= 1 {
+			m.In = min(max(1-p.answered/p.told, 0), 1)
+		}
+		out = append(out, m)
+	}
+	slices.SortFunc(out[1:], func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Live is how many members are held to be there, this one and those suspected among them.
+func (f *Fleet) Live() int { return len(f.rings[0]) + 1 }
+
+// Inc is this member's incarnation.
+func (f *Fleet) Inc() uint64 { return f.inc }
+
+// Superseded tells that a later process has this member's name, and is the member now.
+func (f *Fleet) Superseded() bool { return f.superseded }
+
+// Divisor is by how much a budget of the whole fleet is divided to have this member's part; see share.
+func (f *Fleet) Divisor(now int64) float64 { return f.share.divisor() }
+
+// Holds is what a member is held to be.
+func (f *Fleet) Holds(id ID) State {
+	if id == f.self.ID {
+		return Alive
+	}
+	if p := f.peers[id]; p != nil {
+		return p.state
+	}
+	return Unknown
+}
+
+// Place is this member's place among those that are there, by their ids: 0 to Live()-1, the same in all views that agree.
+func (f *Fleet) Place() (n int) {
+	for _, p := range f.rings[0] {
+		if p.ID < f.self.ID {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/peer/packet/codec.go
@@ -0,0 +1,216 @@
+// Package packet is the codec of the datagrams between members of a fleet: their encoding, their seal, and the window that
+// tells what has come before. It knows no sockets and no clock, and not what a message means.
+package packet
+
+import (
+	"encoding/binary"
+	"errors"
+	"net/netip"
+
+	"spurspread/decide/member"
+)
+
+// The encoding, all numbers big-endian; uv is a varint as encoding/binary has it:
+//
+//	1         version, 1
+//	1         kind
+//	8  8      instance of the receiver that this is for (0: not known), the sender's count of datagrams
+//	8 uv 8    sender, its incarnation, its instance
+//	addr      where the sender is reached: 1 byte of length (0, 4 or 16), as many, and 2 of port where it is not 0
+//	1 uv      what the sender holds the receiver to be, and under which incarnation
+//	4 8 4 1   sequence, about whom, pings that have come, flags
+//	8         digest of the sender's view
+//	1 + 4n    sums of buckets
+//	1 + n     rumors: 1 state, 8 id, uv incarnation, 8 by, 8 instance, addr, 1 + n name
+//
+// Nothing may follow.
+const (
+	version = 1
+
+	// MaxName is how long a member's name may be, in bytes.
+	MaxName = 40
+	// MaxPlain bounds what is encoded, in bytes. A datagram stays under what Ethernet carries whole.
+	MaxPlain = 1300
+
+	flagBack = 1
+)
+
+// What may be wrong with what was received. Each is final.
+var (
+	ErrMalformed = errors.New("no message")
+	ErrVersion   = errors.New("of a version that is not known")
+	ErrKey       = errors.New("sealed with a key that is not listed")
+	ErrForged    = errors.New("seal is broken")
+)
+
+// Envelope is what goes along with a message.
+type Envelope struct {
+	To    uint64 // instance of the receiver, 0 where it is not known
+	Count uint64
+	Addr  netip.AddrPort
+}
+
+func appendAddr(b []byte, a netip.AddrPort) []byte {
+	if !a.IsValid() {
+		return append(b, 0)
+	}
+	ip := a.Addr().Unmap().AsSlice()
+	b = append(append(b, byte(len(ip))), ip...)
+	return binary.BigEndian.AppendUint16(b, a.Port())
+}
+
+// encode appends a message. Rumors that would make it too long are left out; they go along with another.
+func Encode(b []byte, e Envelope, m *member.Message) []byte {
+	start := len(b)
+	b = append(b, version, byte(m.Kind))
+	b = binary.BigEndian.AppendUint64(b, e.To)
+	b = binary.BigEndian.AppendUint64(b, e.Count)
+	b = binary.BigEndian.AppendUint64(b, uint64(m.From))
+	b = binary.AppendUvarint(b, m.Inc)
+	b = binary.BigEndian.AppendUint64(b, m.Instance)
+	b = appendAddr(b, e.Addr)
+	b = append(b, byte(m.You))
+	b = binary.AppendUvarint(b, m.YouInc)
+	b = binary.BigEndian.AppendUint32(b, m.Seq)
+	b = binary.BigEndian.AppendUint64(b, uint64(m.About))
+	b = binary.BigEndian.AppendUint32(b, m.Got)
+	flags := byte(0)
+	if m.Back {
+		flags = flagBack
+	}
+	b = append(b, flags)
+	b = binary.BigEndian.AppendUint64(b, m.Digest)
+	b = append(b, byte(len(m.Sums)))
+	for _, s := range m.Sums {
+		b = binary.BigEndian.AppendUint32(b, s)
+	}
+	at := len(b)
+	b = append(b, 0)
+	for i := range m.Rumors {
+		before := len(b)
+		if b = appendRumor(b, &m.Rumors[i]); len(b)-start > MaxPlain {
+			return b[:before]
+		}
+		b[at]++
+	}
+	return b
+}
+
+func appendRumor(b []byte, r *member.Rumor) []byte {
+	b = append(b, byte(r.State))
+	b = binary.BigEndian.AppendUint64(b, uint64(r.ID))
+	b = binary.AppendUvarint(b, r.Inc)
+	b = binary.BigEndian.AppendUint64(b, uint64(r.By))
+	b = binary.BigEndian.AppendUint64(b, r.Instance)
+	b = appendAddr(b, r.Addr)
+	name := r.Name[:min(len(r.Name), MaxName)]
+	return append(append(b, byte(len(name))), name...)
+}
+
+// reader takes an encoding apart; once it has failed all further reads are zero.
+type reader struct {
+	b   []byte
+	bad bool
+}
+
+func (r *reader) take(n int) []byte {
+	if r.bad || n > len(r.b) {
+		r.bad = true
+		return make([]byte, min(n, 16))
+	}
+	out := r.b[:n]
+	r.b = r.b[n:]
+	return out
+}
+
+func (r *reader) u8() byte    { return r.take(1)[0] }
+func (r *reader) u32() uint32 { return binary.BigEndian.Uint32(r.take(4)) }
+func (r *reader) u64() uint64 { return binary.BigEndian.Uint64(r.take(8)) }
+
+// uvarint takes the shortest form only, so that a message has one encoding.
+func (r *reader) uvarint() uint64 {
+	v, n := binary.Uvarint(r.b)
+	if n <= 0 || n > 1 && r.b[n-1] == 0 {
+		r.bad = true
+		return 0
+	}
+	r.b = r.b[n:]
+	return v
+}
+
+func (r *reader) addr() netip.AddrPort {
+	n := int(r.u8())
+	if n == 0 {
+		return netip.AddrPort{}
+	}
+	if n != 4 && n != 16 {
+		r.bad = true
+		return netip.AddrPort{}
+	}
+	ip, _ := netip.AddrFromSlice(r.take(n))
+	if ip.Is4In6() {
+		r.bad = true
+	}
+	return netip.AddrPortFrom(ip, binary.BigEndian.Uint16(r.take(2)))
+}
+
+func (r *reader) state() member.State {
+	s := member.State(r.u8())
+	if s > member.Left {
+		r.bad = true
+	}
+	return s
+}
+
+// decode reads what encode wrote, and nothing else. The message keeps nothing of b.
+func Decode(b []byte) (e Envelope, m member.Message, err error) {
+	if len(b) == 0 || len(b) > MaxPlain {
+		return e, m, ErrMalformed
+	}
+	if b[0] != version {
+		return e, m, ErrVersion
+	}
+	r := &reader{b: b[1:]}
+	m.Kind = member.Kind(r.u8())
+	e.To, e.Count = r.u64(), r.u64()
+	m.From, m.Inc, m.Instance = member.ID(r.u64()), r.uvarint(), r.u64()
+	e.Addr = r.addr()
+	m.You, m.YouInc = r.state(), r.uvarint()
+	m.Seq, m.About, m.Got = r.u32(), member.ID(r.u64()), r.u32()
+	flags := r.u8()
+	m.Back, m.Digest = flags == flagBack, r.u64()
+	if sums := int(r.u8()); sums == member.Buckets {
+		for range sums {
+			m.Sums = append(m.Sums, r.u32())
+		}
+	} else if sums != 0 {
+		r.bad = true
+	}
+	for range r.u8() {
+		if r.bad {
+			break
+		}
+		m.Rumors = append(m.Rumors, r.rumor())
+	}
+	if r.bad || len(r.b) != 0 || flags > flagBack || len(m.Rumors) > member.MaxRumors || m.Kind == 0 || m.Kind > Hello {
+		return Envelope{}, member.Message{}, ErrMalformed
+	}
+	return e, m, nil
+}
+
+func (r *reader) rumor() (out member.Rumor) {
+	out.State, out.ID, out.Inc = r.state(), member.ID(r.u64()), r.uvarint()
+	out.By, out.Instance, out.Addr = member.ID(r.u64()), r.u64(), r.addr()
+	n := int(r.u8())
+	if n > MaxName {
+		r.bad = true
+		return out
+	}
+	out.Name = string(r.take(n))
+	return out
+}
+
+// Size is how long a message's datagram is, in bytes, sealed.
+func Size(m *member.Message) int {
+	return len(Encode(nil, Envelope{Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 1)}, m)) + Overhead
+}
--- /dev/null
+++ b/internal/peer/packet/codec_test.go
@@ -0,0 +1,85 @@
+package packet
+
+import (
+	"bytes"
+	"net/netip"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"spurspread/decide/member"
+)
+
+func drawAddr(r *rapid.T) netip.AddrPort {
+	switch rapid.IntRange(0, 2).Draw(r, "family") {
+	case 0:
+		return netip.AddrPort{}
+	case 1:
+		ip := [4]byte(rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(r, "ip"))
+		return netip.AddrPortFrom(netip.AddrFrom4(ip), rapid.Uint16().Draw(r, "port"))
+	}
+	ip := netip.AddrFrom16([16]byte(rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(r, "ip")))
+	return netip.AddrPortFrom(ip.Unmap(), rapid.Uint16().Draw(r, "port"))
+}
+
+func drawMessage(r *rapid.T) (Envelope, member.Message) {
+	u64 := func(name string) uint64 { return rapid.Uint64().Draw(r, name) }
+	state := func(name string) member.State { return member.State(rapid.IntRange(0, int(member.Left)).Draw(r, name)) }
+	m := member.Message{Kind: member.Kind(rapid.IntRange(1, int(Hello)).Draw(r, "kind")), Seq: rapid.Uint32().Draw(r, "seq"),
+		From: member.ID(u64("from")), Inc: u64("inc"), Instance: u64("instance"), You: state("you"), YouInc: u64("you inc"),
+		About: member.ID(u64("about")), Got: rapid.Uint32().Draw(r, "got"), Back: rapid.Bool().Draw(r, "back"), Digest: u64("digest")}
+	if rapid.Bool().Draw(r, "sums") {
+		m.Sums = rapid.SliceOfN(rapid.Uint32(), member.Buckets, member.Buckets).Draw(r, "sums")
+	}
+	for range rapid.IntRange(0, 4).Draw(r, "rumors") {
+		m.Rumors = append(m.Rumors, member.Rumor{ID: member.ID(u64("id")), State: state("state"), Inc: u64("inc"),
+			By: member.ID(u64("by")), Instance: u64("instance"), Addr: drawAddr(r),
+			Name: rapid.StringOfN(rapid.RuneFrom([]rune("abc-9")), 0, MaxName, MaxName).Draw(r, "name")})
+	}
+	return Envelope{u64("to"), u64("count"), drawAddr(r)}, m
+}
+
+// What is encoded is decoded to the same, and every cut-off or lengthened form of it is refused.
+func TestThereAndBack(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		e, m := drawMessage(r)
+		b := Encode(nil, e, &m)
+		gotE, got, err := Decode(b)
+		if err != nil || gotE != e || !reflect.DeepEqual(got, m) {
+			r.Fatalf("%v\n%+v %+v\n%+v %+v", err, e, m, gotE, got)
+		}
+		if _, _, err := Decode(b[:rapid.IntRange(0, len(b)-1).Draw(r, "cut")]); err == nil {
+			r.Fatal("a cut-off message is taken")
+		}
+		if _, _, err := Decode(append(bytes.Clone(b), 0)); err == nil {
+			r.Fatal("something may follow")
+		}
+	})
+}
+
+// Rumors that do not fit are left out; a message never is too long.
+func TestEncodingIsBounded(t *testing.T) {
+	m := member.Message{Kind: member.Entries, Sums: make([]uint32, member.Buckets)}
+	long := netip.AddrPortFrom(netip.AddrFrom16([16]byte{0x20, 1}), 1)
+	for range member.MaxRumors {
+		m.Rumors = append(m.Rumors, member.Rumor{State: member.Alive, Inc: 1 << 62, Addr: long, Name: string(bytes.Repeat([]byte("x"), 3*MaxName))})
+	}
+	b := Encode(nil, Envelope{}, &m)
+	_, got, err := Decode(b)
+	if err != nil || len(b) > MaxPlain || len(got.Rumors) < 8 || len(got.Rumors[0].Name) != MaxName {
+		t.Fatalf("%d bytes, %d rumors, %v", len(b), len(got.Rumors), err)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(Encode(nil, Envelope{To: 1, Count: 2}, &member.Message{Kind: member.Ping, Seq: 3}))
+	f.Add(Encode(nil, Envelope{}, &member.Message{Kind: member.Entries, Rumors: []member.Rumor{{ID: 1, State: member.Alive, Name: "a"}}}))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if e, m, err := Decode(b); err == nil {
+			if again := Encode(nil, e, &m); !bytes.Equal(again, b) {
+				t.Fatalf("%x decodes, and encodes to %x", b, again)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/lab/virtual/virtual_test.go
@@ -0,0 +1,55 @@
+package virtual
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+)
+
+// seeds is how many each scenario is played with; make soak has more.
+func seeds(t *testing.T) uint64 {
+	n, err := strconv.ParseUint(os.Getenv("SPURSPREAD_SOAK"), 10, 32)
+	if err != nil {
+		n = 8
+	}
+	t.Logf("%d seeds", n)
+	return n
+}
+
+// Every bound holds on every seed; one that does not is told with what plays it again.
+func TestScenarios(t *testing.T) {
+	n := seeds(t)
+	for _, name := range Names() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range n {
+				members := []int{3, 5, 8, 16, 24}[seed%5]
+				r, err := Play(name, members, seed, Members(3), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, b := range r.Broken() {
+					t.Errorf("%s, %d members: %s; again: bin/spurlab virtual %s --members %d --seed %d", name, members, b, name, members, seed)
+				}
+			}
+		})
+	}
+}
+
+// The same seed brings the same events.
+func TestSameSeedSameEvents(t *testing.T) {
+	play := func(seed uint64) string {
+		r, err := Play("loss", 8, seed, Members(2), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return fmt.Sprintf("%+v", *r)
+	}
+	if a, b := play(7), play(7); a != b {
+		t.Fatalf("%s\n%s", a, b)
+	}
+	if a, b := play(7), play(8); a == b {
+		t.Fatal("another seed brings the same")
+	}
+}
--- /dev/null
+++ b/lab/virtual/world.go
@@ -0,0 +1,355 @@
+// Package virtual plays many members of a fleet in virtual time: one seeded queue of events, links that fail each way by
+// themselves, processes that are paused, killed and started again. The deciders are those of the balancer; what happens
+// between them is judged from what they say they see, by a checker that knows what was done to them. The same seed brings
+// the same events, and the same hash of them.
+package virtual
+
+import (
+	"cmp"
+	"container/heap"
+	"encoding/binary"
+	"fmt"
+	"hash"
+	"hash/fnv"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+
+	"spurspread/decide/member"
+)
+
+// Micros is a span, or a point in virtual time.
+type Micros = int64
+
+// Spans.
+const (
+	Millisecond Micros = 1000
+	Second             = 1000 * Millisecond
+)
+
+// Link is how one direction between two members is.
+type Link struct {
+	Cut    bool
+	Loss   float64 // part of all messages
+	Burst  float64 // mean length of a row of lost ones, where over 1
+	Delay  Micros
+	Jitter Micros  // and up to so much more, each by itself, so that messages overtake one another
+	Twice  float64 // part that comes a second time
+
+	losing bool
+}
+
+// passes tells whether the next message comes through. Losses come in rows: a state that is left with probability 1/Burst.
+func (l *Link) passes(rng *rand.Rand) bool {
+	if l.Cut {
+		return false
+	}
+	if l.Burst > 1 && l.Loss < 1 {
+		leave := 1 / l.Burst
+		enter := l.Loss / (1 - l.Loss) * leave
+		if l.losing {
+			l.losing = rng.Float64() >= leave
+		} else {
+			l.losing = rng.Float64() < enter
+		}
+		return !l.losing
+	}
+	return rng.Float64() >= l.Loss
+}
+
+// Detector is one member's part, whichever way it works.
+type Detector interface {
+	Tick(now Micros) ([]Packet, []member.Change)
+	Receive(now Micros, from int, p Packet) ([]Packet, []member.Change)
+	Leave(now Micros) []Packet
+	// Holds is what this member holds another to be: alive, or dead or gone.
+	Holds(other int) member.State
+	Inc() uint64
+}
+
+// Packet is a message on its way.
+type Packet struct {
+	To    int
+	Size  int
+	Carry any
+}
+
+// node is one member's process.
+type node struct {
+	detect  Detector
+	up      bool
+	paused  Micros // until then
+	waiting []arrival
+	born    Micros
+	started int // how often
+}
+
+type arrival struct {
+	from int
+	p    Packet
+}
+
+// socketRoom is how many datagrams wait at a paused process before further ones are lost.
+const socketRoom = 256
+
+// event is something that is due.
+type event struct {
+	at   Micros
+	seq  uint64
+	do   func()
+	kind uint8
+	a, b int
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(q[i].at, q[j].at), cmp.Compare(q[i].seq, q[j].seq)) < 0
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(e any)   { *q = append(*q, e.(event)) }
+func (q *queue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// World is the members and what is between them.
+type World struct {
+	Now   Micros
+	Bytes []int64 // that each member has sent
+	Sent  int64   // datagrams
+	Log   func(format string, args ...any)
+
+	rng   *rand.Rand
+	make  func(w *World, i, start int) Detector
+	nodes []*node
+	links map[[2]int]*Link
+	usual Link
+	q     queue
+	seq   uint64
+	hash  hash.Hash64
+	check *Checker
+}
+
+// Event kinds, as far as they are hashed.
+const (
+	evTick uint8 = iota
+	evArrive
+	evFault
+)
+
+// NewWorld returns a world of n members that are not started.
+func NewWorld(n int, seed uint64, usual Link, build func(w *World, i, start int) Detector) *World {
+	w := &World{rng: rand.New(rand.NewPCG(seed, 0x7669727475616c)), make: build, links: map[[2]int]*Link{}, usual: usual,
+		hash: fnv.New64a(), Bytes: make([]int64, n), Now: Second}
+	for range n {
+		w.nodes = append(w.nodes, &node{})
+	}
+	w.check = newChecker(w, n)
+	return w
+}
+
+// Addr is where member i is reached.
+func Addr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(1 + i>>16), byte(i >> 8), byte(i)}), 7000)
+}
+
+// Index is the member that is reached there.
+func Index(a netip.AddrPort) int {
+	ip := a.Addr().As4()
+	return int(ip[1]-1)<<16 | int(ip[2])<<8 | int(ip[3])
+}
+
+func (w *World) at(d Micros, kind uint8, a, b int, do func()) {
+	w.seq++
+	heap.Push(&w.q, event{at: w.Now + max(d, 0), seq: w.seq, do: do, kind: kind, a: a, b: b})
+}
+
+// After has something done to the world, and its time in the checker's list of faults.
+func (w *World) After(d Micros, what string, do func()) {
+	w.at(d, evFault, len(what), 0, func() {
+		if w.Log != nil {
+			w.Log("%8.3f s  %s", float64(w.Now)/1e6, what)
+		}
+		do()
+		w.check.fault(w.Now, what)
+	})
+}
+
+// Run goes on until then.
+func (w *World) Run(until Micros) {
+	for len(w.q) > 0 && w.q[0].at <= until {
+		e := heap.Pop(&w.q).(event)
+		w.Now = e.at
+		var b [21]byte
+		binary.BigEndian.PutUint64(b[:], uint64(e.at))
+		b[8] = e.kind
+		binary.BigEndian.PutUint32(b[9:], uint32(e.a))
+		binary.BigEndian.PutUint64(b[13:], uint64(e.b))
+		_, _ = w.hash.Write(b[:])
+		e.do()
+	}
+	w.Now = until
+}
+
+// Hash stands for all events so far.
+func (w *World) Hash() string { return fmt.Sprintf("%016x", w.hash.Sum64()) }
+
+// Start starts a member's process, or a new one under its name.
+func (w *World) Start(i int) {
+	n := w.nodes[i]
+	n.started++
+	n.up, n.paused, n.waiting, n.born = true, 0, nil, w.Now
+	n.detect = w.make(w, i, n.started)
+	w.check.started(i)
+	w.tick(i, n.started, w.rng.Int64N(member.Step))
+}
+
+func (w *World) tick(i, start int, d Micros) {
+	w.at(d, evTick, i, start, func() {
+		n := w.nodes[i]
+		if !n.up || n.started != start {
+			return
+		}
+		if w.Now < n.paused {
+			w.tick(i, start, n.paused-w.Now)
+			return
+		}
+		// What waited is read before the deadlines are looked at, as the loop does.
+		waiting := n.waiting
+		n.waiting = nil
+		for _, a := range waiting {
+			w.deliver(a.from, i, a.p)
+		}
+		w.does(i)(n.detect.Tick(w.Now))
+		w.tick(i, start, member.Step+w.rng.Int64N(2*Millisecond))
+	})
+}
+
+// does carries out what a member says.
+func (w *World) does(i int) func([]Packet, []member.Change) {
+	return func(out []Packet, changes []member.Change) {
+		for _, c := range changes {
+			w.check.changed(i, c)
+		}
+		for _, p := range out {
+			w.send(i, p)
+		}
+	}
+}
+
+func (w *World) link(from, to int) *Link {
+	l := w.links[[2]int{from, to}]
+	if l == nil {
+		own := w.usual
+		l = &own
+		w.links[[2]int{from, to}] = l
+	}
+	return l
+}
+
+func (w *World) send(from int, p Packet) {
+	w.Bytes[from] += int64(p.Size)
+	w.Sent++
+	if p.To < 0 || p.To >= len(w.nodes) || p.To == from {
+		return
+	}
+	l := w.link(from, p.To)
+	if !l.passes(w.rng) {
+		return
+	}
+	times := 1
+	if w.rng.Float64() < l.Twice {
+		times = 2
+	}
+	for range times {
+		d := l.Delay
+		if l.Jitter > 0 {
+			d += w.rng.Int64N(l.Jitter)
+		}
+		start := w.nodes[p.To].started
+		w.at(d, evArrive, from, p.To, func() {
+			n := w.nodes[p.To]
+			switch {
+			case !n.up || n.started != start:
+			case w.Now < n.paused || len(n.waiting) > 0:
+				if len(n.waiting) < socketRoom {
+					n.waiting = append(n.waiting, arrival{from, p})
+				}
+			default:
+				w.deliver(from, p.To, p)
+			}
+		})
+	}
+}
+
+func (w *World) deliver(from, to int, p Packet) {
+	w.does(to)(w.nodes[to].detect.Receive(w.Now, from, p))
+}
+
+// Kill ends a member's process without a word.
+func (w *World) Kill(i int) {
+	w.nodes[i].up = false
+	w.check.killed(i)
+}
+
+// Stop ends it in the planned way.
+func (w *World) Stop(i int) {
+	n := w.nodes[i]
+	if !n.up {
+		return
+	}
+	for _, p := range n.detect.Leave(w.Now) {
+		w.send(i, p)
+	}
+	start := n.started
+	w.at(500*Millisecond, evFault, i, 1, func() {
+		if n.started == start {
+			w.Kill(i)
+		}
+	})
+}
+
+// Pause stops a member's process for a while.
+func (w *World) Pause(i int, d Micros) {
+	n := w.nodes[i]
+	n.paused = max(n.paused, w.Now+d)
+	w.check.pausedFor(i, d)
+}
+
+// Set changes the links from some members to others, one way.
+func (w *World) Set(from, to []int, change func(*Link)) {
+	for _, a := range from {
+		for _, b := range to {
+			if a != b {
+				change(w.link(a, b))
+			}
+		}
+	}
+}
+
+// Heal makes all links what they are usually.
+func (w *World) Heal() { clear(w.links) }
+
+// All is every member.
+func (w *World) All() []int {
+	out := make([]int, len(w.nodes))
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
+// Draw is n different members.
+func (w *World) Draw(n int) []int {
+	all := w.All()
+	w.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	out := all[:min(n, len(all))]
+	slices.Sort(out)
+	return out
+}
+
+// Rand draws for scripts of faults.
+func (w *World) Rand() *rand.Rand { return w.rng }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -138,17 +138,22 @@
 
 // New returns a balancer that has just started.
 func New(s Settings, seed uint64, now Micros) *Balancer {
-	b := &Balancer{set: s, rng: rand.New(rand.NewPCG(seed, 0x726f62696e6c7567)),
+	b := &Balancer{rng: rand.New(rand.NewPCG(seed, 0x726f62696e6c7567)),
 		byID: map[uint32]*server{}, reqs: map[uint32]*request{},
 		meanUnits: 1, present: presence.New(int64(now)), pace: setups.New()}
-	b.fleet.Live, b.fleet.Told = s.LiveWeights, s.TellsLoad
-	b.asks = asks.Asker{Rank: s.Rank, Balancers: s.Balancers, Every: int64(s.AskEvery),
-		Jitter: func(d int64) int64 { return int64(b.jitter(Micros(d))) }}
+	b.asks.Jitter = func(d int64) int64 { return int64(b.jitter(Micros(d))) }
+	b.tune(s)
 	b.asks.Begin(int64(now))
 	b.retries = max(retryMost*b.share(1), 2)
 	return b
 }
 
+// tune has all go by these settings from now on.
+func (b *Balancer) tune(s Settings) {
+	b.set, b.fleet.Live, b.fleet.Told = s, s.LiveWeights, s.TellsLoad
+	b.asks.Rank, b.asks.Balancers, b.asks.Every = s.Rank, s.Balancers, int64(s.AskEvery)
+}
+
 // aim is the shortest message aim of the classes; 0 where none is stated.
 func (b *Balancer) aim() (aim Micros) {
 	for _, c := range b.set.Classes {
@@ -195,7 +200,7 @@
 	case Probed:
 		b.onProbed(now, ev)
 	case Retuned:
-		b.set = ev.Settings
+		b.tune(ev.Settings)
 	}
 	out, b.out = b.out, nil
 	return out
@@ -643,16 +648,13 @@
 
 // unbear takes it away again.
 func (b *Balancer) unbear(r *request) {
-	s := r.borne
-	if s == nil {
-		return
-	}
-	r.borne = nil
-	s.Own, s.Conns = max(s.Own-r.load, 0), s.Conns-1
-	if s.groups[r.group]--; s.groups[r.group] <= 0 {
-		delete(s.groups, r.group)
+	if s := r.borne; s != nil {
+		r.borne, s.Own, s.Conns = nil, max(s.Own-r.load, 0), s.Conns-1
+		if s.groups[r.group]--; s.groups[r.group] <= 0 {
+			delete(s.groups, r.group)
+		}
+		s.Groups = len(s.groups)
 	}
-	s.Groups = len(s.groups)
 }
 
 func (b *Balancer) fall(r *request) {
@@ -963,8 +965,6 @@
 	b.end(r)
 }
 
-// ---- Cold budget ----
-
 // census looks how much of the fleet is there; while a part is gone, what comes back is let in more slowly.
 func (b *Balancer) census(now Micros) {
 	units := 0.0
--- a/logic/retune_test.go
+++ b/logic/retune_test.go
@@ -36,3 +36,16 @@
 		})
 	}
 }
+
+// What the accounts of placement go by is tuned with the rest: the fleet's size, whether loads are told, what weights mean.
+func TestRetunedAccounts(t *testing.T) {
+	before := settings()
+	before.Ask = true
+	g := newRig(t, before, fleet(2, 0))
+	after := told()
+	after.Ask, after.Rank, after.Balancers, after.AskEvery = true, 7, 50, 9*sec
+	g.do(Retuned{Settings: after})
+	if !g.b.fleet.Told || !g.b.fleet.Live || g.b.asks.Rank != 7 || Micros(g.b.asks.Span()) != 5*sec {
+		t.Fatalf("told %v, live %v, rank %d, span %d", g.b.fleet.Told, g.b.fleet.Live, g.b.asks.Rank, g.b.asks.Span())
+	}
+}
