Empty draining servers only where others are known to have room

At fault: spread in logic/logic.go moved one connection at least off a draining server at each tick; of 300 balancers each holds one or two there, so all left at once, to a fleet of which six in ten are being replaced. A rate of one balancer, where the fleet's is wanted.

Now each connection leaves with the same chance whatever a balancer holds, and only while the load that is told leaves others room.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,10 +39,10 @@
 	retryMost  = 60.0 // saved up by all balancers together; each may save up two
 
 	// Slow servers.
-	moveSetUp  = 0.4 // of a class's aim: while set-ups take longer, nothing of it is moved
-	shedAt     = 1.5 // of a class aim: moved though no other server has room
-	moveMost   = 0.7 // of its connections, at one note
-	drainSteps = 8   // a draining server loses a part in so many a tick: half of all in 1.5 s
+	moveSetUp = 0.4    // of a class's aim: while set-ups take longer, nothing of it is moved
+	shedAt    = 1.5    // of a class aim: moved though no other server has room
+	moveMost  = 0.7    // of its connections, at one note
+	drainPart = 1. / 8 // of what stands on a draining server leaves at each tick: half of all in 1.5 s
 
 	loadFull   = 0.85     // of its capacity asked: no validation
 	fullPause  = 300 * ms // nothing new to a server that turned an attempt away as full
@@ -893,7 +893,7 @@
 }
 
 // spread moves connections off servers that are asked for more than they can do, as far as others have room,
-// and off draining ones, step by step: what still stands when they stop is cut off, and comes back at once.
+// and off draining ones bit by bit: what still stands when those stop is cut off, and comes back at once.
 func (b *Balancer) spread(now Micros) {
 	room := 0.0
 	for _, s := range b.servers {
@@ -905,10 +905,10 @@
 		if excess := s.Excess(int64(now), &b.fleet, b.warmth(now, s)); b.fleet.Told && s.State == Ready {
 			room -= b.lighten(now, s, min(excess, room))
 		}
-		for i, n := len(s.conns)-1, len(s.conns); s.State == Draining && i >= 0 && n > 0; i-- {
-			if r := s.conns[i]; !r.resumes { // those are moved by a plan of their own
+		for i := len(s.conns) - 1; b.fleet.Told && s.State == Draining && i >= 0; i-- {
+			if r := s.conns[i]; room > 0 && !r.resumes && b.rng.Float64() < drainPart { // else a plan has it
+				room -= r.load
 				b.move(now, r, false)
-				n -= drainSteps
 			}
 		}
 	}
