Prove membership by a model, planted faults, overlapping pauses and a member of bad links

Three planted faults (no newer incarnation, blind to pauses, one observer's word) are each found by a false death; a rapid test holds incarnations, returns and bounds against a small model. New scripts: others paused while a suspicion runs, and one member that loses half of all it sends and is sent.

--- /dev/null
+++ b/decide/member/member_test.go
@@ -0,0 +1,210 @@
+package member
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const start = 1000 * sec
+
+func addr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i)}), 7000)
+}
+
+func who(i int) Self {
+	return Self{ID: ID(i * 1_000_003), Name: fmt.Sprint("n", i), Addr: addr(i), Instance: uint64(100 + i)}
+}
+
+func rumor(i int, s State, inc uint64, by int) Rumor {
+	w := who(i)
+	return Rumor{ID: w.ID, State: s, Inc: inc, By: who(by).ID, Instance: w.Instance, Name: w.Name, Addr: w.Addr}
+}
+
+// fleetOf is member 1's view of n members, all alive under incarnation 1.
+func fleetOf(n int) (*Fleet, int64) {
+	f := New(Config{Self: who(1), Inc: 1, Seed: 5}, start)
+	var all []Rumor
+	for i := 2; i <= n; i++ {
+		all = append(all, rumor(i, Alive, 1, 0))
+	}
+	f.Receive(start, addr(2), Message{Kind: Gossip, From: who(2).ID, Inc: 1, Instance: who(2).Instance, Rumors: all})
+	return f, start
+}
+
+// gossip has member i tell something.
+func (f *Fleet) told(now int64, i int, rumors ...Rumor) ([]Send, []Change) {
+	return f.Receive(now, addr(i), Message{Kind: Gossip, From: who(i).ID, Inc: 1, Instance: who(i).Instance, You: Alive, YouInc: f.inc, Rumors: rumors})
+}
+
+// answer has all but some answer what this member asked in a span, and returns what changed.
+func (f *Fleet) answer(now *int64, span int64, silent ...int) (changes []Change) {
+	dead := map[netip.AddrPort]bool{}
+	for _, i := range silent {
+		dead[addr(i)] = true
+	}
+	for end := *now + span; *now < end; {
+		*now += Step
+		out, c := f.Tick(*now)
+		changes = append(changes, c...)
+		for _, s := range out {
+			if s.Msg.Kind == Ping && !dead[s.To] {
+				_, c := f.Receive(*now, s.To, Message{Kind: Ack, Seq: s.Msg.Seq, From: s.ID, Inc: s.Msg.YouInc, Instance: f.peers[s.ID].Instance,
+					You: Alive, YouInc: f.inc, Digest: f.digest})
+				changes = append(changes, c...)
+			}
+		}
+	}
+	return changes
+}
+
+// One that does not answer is suspected by nobody until another says the same, and dead only after a suspicion of Least.
+func TestOneObserverSuspectsNobody(t *testing.T) {
+	f, now := fleetOf(6)
+	f.answer(&now, 10*sec, 3)
+	if s := f.Holds(who(3).ID); s != Alive {
+		t.Fatalf("%v by one's own word", s)
+	}
+	f.told(now, 4, rumor(3, Suspect, 1, 4))
+	f.answer(&now, sec, 3)
+	if s := f.Holds(who(3).ID); s != Suspect {
+		t.Fatalf("%v after two could not reach it", s)
+	}
+	f.answer(&now, Least, 3)
+	if s := f.Holds(who(3).ID); s != Dead {
+		t.Fatalf("%v after %d ms more", s, Least/ms)
+	}
+}
+
+// Who reaches the suspect itself does not hold it dead, however many accuse it.
+func TestOnlyWhoFailedHoldsDead(t *testing.T) {
+	f, now := fleetOf(6)
+	f.told(now, 4, rumor(3, Suspect, 1, 4), rumor(3, Suspect, 1, 5))
+	if f.answer(&now, 3*Least); f.Holds(who(3).ID) == Dead {
+		t.Fatal("dead, though it answers")
+	}
+}
+
+// After a pause a suspicion has its whole time again, and nobody is accused of what went unanswered meanwhile.
+func TestPausedMemberDoubtsItself(t *testing.T) {
+	f, now := fleetOf(6)
+	f.answer(&now, 3*sec, 3)
+	f.told(now, 4, rumor(3, Suspect, 1, 4))
+	f.answer(&now, sec, 3)
+	accused := f.Accusations
+	now += 10 * sec
+	if _, changes := f.Tick(now); len(changes) > 0 || f.Pauses != 1 || !f.Doubts(now) {
+		t.Fatalf("%v, %d pauses", changes, f.Pauses)
+	}
+	f.answer(&now, doubtTime-Step, 3)
+	if f.Accusations != accused || f.Holds(who(3).ID) != Suspect {
+		t.Fatalf("%d accusations after a pause, %v", f.Accusations-accused, f.Holds(who(3).ID))
+	}
+}
+
+// What is said of oneself is answered under a newer incarnation, also what is said of one's death.
+func TestRefutes(t *testing.T) {
+	f, now := fleetOf(4)
+	f.told(now, 2, rumor(1, Suspect, 1, 2))
+	f.told(now, 3, rumor(1, Dead, 7, 3))
+	if f.Inc() != 8 {
+		t.Fatalf("incarnation %d", f.Inc())
+	}
+	out, _ := f.Receive(now, addr(2), Message{Kind: Ping, Seq: 9, From: who(2).ID, Inc: 1, Instance: who(2).Instance, You: Dead, YouInc: 8})
+	if len(out) != 1 || out[0].Msg.Kind != Ack || out[0].Msg.Inc != 9 {
+		t.Fatalf("%+v", out)
+	}
+}
+
+// A later process of the name is the member; an earlier one is answered, and two members' worth of talk ends.
+func TestTwoProcessesOfOneName(t *testing.T) {
+	f, now := fleetOf(3)
+	older := rumor(1, Alive, 5, 0)
+	older.Instance = 1
+	if f.told(now, 2, older); f.Superseded() || f.Inc() != 6 {
+		t.Fatalf("superseded %v, incarnation %d", f.Superseded(), f.Inc())
+	}
+	later := rumor(1, Alive, 1, 0)
+	later.Instance = 1000
+	f.told(now, 2, later)
+	if out, _ := f.Tick(now + Step); !f.Superseded() || len(out) > 0 {
+		t.Fatalf("superseded %v, and says %v", f.Superseded(), out)
+	}
+}
+
+// The part of a budget falls at once when members come, slowly when they go, and two sides of a cut stay within Factor.
+func TestShare(t *testing.T) {
+	var s share
+	s.note(start, 16, 16)
+	s.note(start+Step, 40, 40)
+	if s.divisor() != 40 {
+		t.Fatalf("divided by %v after 24 have come", s.divisor())
+	}
+	now := start + Step
+	was := s.divisor()
+	for range 20 * 20 {
+		now += Step
+		s.note(now, 20, 40)
+		if d := s.divisor(); d > was || was-d > 0.1 {
+			t.Fatalf("divided by %v, and then by %v", was, d)
+		}
+		was = s.divisor()
+	}
+	for range 20 * 300 {
+		now += Step
+		s.note(now, 3, 40)
+	}
+	if d := s.divisor(); d < 40/Factor {
+		t.Fatalf("divided by %v, where 40 may be there", d)
+	}
+}
+
+// Whatever is told, in whatever order: incarnations never fall, who is dead comes back only under a newer one, and nothing
+// that is held or sent is unbounded. The model is the last word on each, by incarnation and then by state.
+func TestAgainstModel(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		f := New(Config{Self: who(1), Inc: 1, Seed: rapid.Uint64().Draw(r, "seed"), MaxSize: 6}, start)
+		now, own := int64(start), uint64(1)
+		type word struct {
+			inc   uint64
+			state State
+		}
+		held := map[ID]word{}
+		check := func(out []Send, changes []Change) {
+			for _, c := range changes {
+				if was := held[c.ID]; c.Inc < was.inc || was.state >= Dead && c.To < Dead && c.Inc <= was.inc {
+					r.Fatalf("%v after %+v", c, was)
+				}
+				held[c.ID] = word{c.Inc, c.To}
+			}
+			for _, s := range out {
+				if len(s.Msg.Rumors) > MaxRumors {
+					r.Fatalf("%d rumors in one message", len(s.Msg.Rumors))
+				}
+			}
+			if f.inc < own || len(f.peers) > 6 || len(f.spread) > maxNews {
+				r.Fatalf("incarnation %d after %d, %d members, %d news", f.inc, own, len(f.peers), len(f.spread))
+			}
+			own = f.inc
+		}
+		draw := func(name string, from, to int) int { return rapid.IntRange(from, to).Draw(r, name) }
+		for range draw("steps", 1, 120) {
+			if draw("what", 0, 2) == 0 {
+				now += int64(draw("ms", 1, 500)) * ms
+				check(f.Tick(now))
+				continue
+			}
+			m := Message{Kind: Kind(draw("kind", 0, int(maxKind)+1)), Seq: uint32(draw("seq", 0, 30)), Inc: uint64(draw("inc", 0, 6)),
+				You: State(draw("you", 0, 4)), YouInc: uint64(draw("you inc", 0, 9)), About: who(draw("about", 0, 9)).ID,
+				Digest: uint64(draw("digest", 0, 2)), Sums: make([]uint32, draw("sums", 0, 1)*Buckets)}
+			from := who(draw("from", 1, 9))
+			m.From, m.Instance = from.ID, from.Instance
+			for range draw("rumors", 0, 5) {
+				m.Rumors = append(m.Rumors, rumor(draw("of", 1, 9), State(draw("state", 0, 4)), uint64(draw("under", 0, 6)), draw("by", 0, 9)))
+			}
+			check(f.Receive(now, from.Addr, m))
+		}
+	})
+}
--- a/lab/virtual/checker.go
+++ b/lab/virtual/checker.go
@@ -32,8 +32,10 @@
 	up      bool
 	killed  Micros // 0 while it runs
 	paused  Micros // until
+	stood   Micros // since when, the last time
 	longest Micros // pause since it was started
 	seen    map[int]bool
+	excused bool
 }
 
 func newChecker(w *World, n int) *Checker {
@@ -51,6 +53,9 @@
 // Cuts says whether links are cut from now on, so that members may be held dead that run.
 func (c *Checker) Cuts(cut bool) { c.cut = cut }
 
+// Excuse says that a member may be held dead from now on, since others can hardly reach it.
+func (c *Checker) Excuse(i int) { c.members[i].excused = true }
+
 func (c *Checker) started(i int) {
 	c.members[i] = fate{up: true}
 	for key := range c.deadInc {
@@ -71,7 +76,11 @@
 
 func (c *Checker) pausedFor(i int, d Micros) {
 	m := &c.members[i]
-	m.paused, m.longest = max(m.paused, c.w.Now+d), max(m.longest, d)
+	if c.w.Now > m.paused {
+		m.stood = c.w.Now
+	}
+	m.paused = max(m.paused, c.w.Now+d)
+	m.longest = max(m.longest, m.paused-m.stood)
 }
 
 // runs tells that a member's process is there and not paused.
@@ -84,7 +93,7 @@
 	switch {
 	case ch.To == member.Dead:
 		c.deadInc[key] = ch.Inc
-		if m.up && m.longest <= c.Bearable && !c.cut {
+		if m.up && m.longest <= c.Bearable && !c.cut && !m.excused {
 			c.FalseDead++
 			c.note("%d holds %d dead, which runs", observer, of)
 		}
@@ -97,8 +106,9 @@
 			c.DeadReturned++
 			c.note("%d takes %d back under %d, dead under %d", observer, of, ch.Inc, inc)
 		}
-		c.flaps[key]++
-		c.Flaps = max(c.Flaps, c.flaps[key])
+		if c.flaps[key]++; !m.excused && !c.members[observer].excused {
+			c.Flaps = max(c.Flaps, c.flaps[key])
+		}
 	}
 }
 
@@ -160,12 +170,12 @@
 		size[s]++
 	}
 	for of := range c.members {
-		if c.members[of].up && c.w.Now < c.members[of].paused {
+		if c.members[of].excused || c.members[of].up && c.w.Now < c.members[of].paused {
 			continue // what is said of it while it is paused may change at any time
 		}
 		first := map[int]bool{}
 		for o := range c.members {
-			if o == of || !c.runs(o) || size[side[o]] == 1 { // one that hears nobody says so, and judges nobody
+			if o == of || !c.runs(o) || c.members[o].excused || size[side[o]] == 1 { // one that hears nobody says so, and judges nobody
 				continue
 			}
 			s := c.w.nodes[o].detect.Holds(of)
--- a/lab/virtual/scenario.go
+++ b/lab/virtual/scenario.go
@@ -59,7 +59,7 @@
 
 // Scenarios are the scripts by name.
 var Scenarios = map[string]script{
-	"pause": pauses, "loss": losses, "one-sided": oneSided, "split": splits, "storm": storm, "quiet": quiet,
+	"pause": pauses, "loss": losses, "one-sided": oneSided, "split": splits, "storm": storm, "quiet": quiet, "weak": weak,
 }
 
 // Names are the scenarios' names.
@@ -131,11 +131,32 @@
 				w.Pause(i, span)
 			}
 		})
-		at += span + w.between(2*Second, 4*Second)
+		// Others stand still when what they would say of the first ones falls due.
+		others, later, long := w.Draw(max(len(w.nodes)/3, 1)), w.between(500*Millisecond, 2500*Millisecond), w.between(Second, 2*Second+1)
+		w.After(at+later, fmt.Sprintf("%d others for %d ms", len(others), long/Millisecond), func() {
+			for _, i := range others {
+				w.Pause(i, long)
+			}
+		})
+		at += max(span, later+long) + w.between(2*Second, 4*Second)
 	}
 	return at
 }
 
+// weak has one member lose half of what it sends and half of what it is sent: what it says of others is its own fault.
+func weak(w *World) Micros {
+	one := w.rng.IntN(len(w.nodes))
+	w.After(Second, fmt.Sprintf("%d loses half of all it sends and is sent", one), func() {
+		w.check.Excuse(one)
+		half := func(l *Link) { l.Loss = 0.5 }
+		w.Set([]int{one}, w.All(), half)
+		w.Set(w.All(), []int{one}, half)
+	})
+	at := w.between(20*Second, 30*Second)
+	w.After(at, "no longer", func() { w.Heal() })
+	return at
+}
+
 // losses has messages lost, late, twice and out of order, and members killed meanwhile.
 func losses(w *World) Micros {
 	loss, burst := 0.1+0.1*w.rng.Float64(), []float64{1, 3}[w.rng.IntN(2)]
--- a/lab/virtual/virtual_test.go
+++ b/lab/virtual/virtual_test.go
@@ -53,3 +53,22 @@
 		t.Fatal("another seed brings the same")
 	}
 }
+
+// Each planted fault breaks a bound on some seed of a scenario that can show it.
+func TestPlantedFaultsAreFound(t *testing.T) {
+	for plant, scenario := range map[string]string{"same-incarnation": "loss", "blind-to-pauses": "pause", "one-observer": "weak"} {
+		t.Run(plant, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(20) {
+				r, err := Play(scenario, 12, seed, Planted(plant, Members(3)), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if r.FalseDead > 0 {
+					return
+				}
+			}
+			t.Errorf("nobody falsely held dead in 20 plays of %s", scenario)
+		})
+	}
+}
