--- a/cmd/spurspread/main.go
+++ b/cmd/spurspread/main.go
@@ -27,6 +27,7 @@
 	Serve   serve      `cmd:"" default:"withargs" help:"Serve as a balancer until SIGTERM; what is done without a command."`
 	Site    siteCmds   `cmd:"" help:"Look after site files."`
 	Token   tokenCmds  `cmd:"" help:"Look after resume tokens and their keys."`
+	Members membersCmd `cmd:"" help:"Show the fleet of balancers as one member sees it."`
 	Version versionCmd `cmd:"" help:"Print the version and how it was built."`
 
 	LogFormat logs.Format `enum:"text,json" default:"text" env:"SPURSPREAD_LOG_FORMAT" help:"How log lines are written: text or json."`
--- a/cmd/spurspread/serve.go
+++ b/cmd/spurspread/serve.go
@@ -21,6 +21,7 @@
 	"spurspread/internal/logs"
 	"spurspread/internal/loop"
 	"spurspread/internal/mgmt"
+	"spurspread/internal/peer"
 	"spurspread/internal/relay"
 	"spurspread/internal/settings"
 	"spurspread/internal/site"
@@ -47,6 +48,7 @@
 	memoryMB int64
 	sockets  int
 	mgmt     netip.AddrPort // the management address; none where it is not told
+	name     string         // the balancer's
 }
 
 // Run serves until it is told to stop.
@@ -59,6 +61,10 @@
 	if err != nil {
 		return err
 	}
+	members, seeds, err := c.members(lim.name, cfg.Seed)
+	if err != nil {
+		return err
+	}
 	runtime.GOMAXPROCS(max(1, int(lim.cores)))
 	lim.limitMemory()
 	out := logs.NewOutput(s.err)
@@ -78,8 +84,14 @@
 		return errors.Join(err, l.Close())
 	}
 	lists.start(r.Addr())
+	var peers *fleet
+	if members != nil {
+		if peers, err = joinFleet(l, members, seeds, r, log); err != nil {
+			return errors.Join(err, l.Close())
+		}
+	}
 	if lim.mgmt.IsValid() {
-		if _, err := mgmt.Listen(l, lim.mgmt, r.Manage); err != nil {
+		if _, err := mgmt.Listen(l, lim.mgmt, peers.manage(r.Manage)); err != nil {
 			return errors.Join(err, l.Close())
 		}
 	}
@@ -93,7 +105,10 @@
 			} else if pid := successor(note, listen); pid != 0 {
 				l.Post(func() { r.HandOver(taking, pid) })
 			} else {
-				l.Post(r.Drain)
+				l.Post(func() {
+					peers.leave()
+					r.Drain()
+				})
 			}
 		}
 	}()
@@ -163,6 +178,23 @@
 	return cfg, lim, err
 }
 
+// members reads what the site file says of the fleet, which holds until the process ends; nil where it says nothing.
+func (c *serve) members(name string, seed uint64) (*peer.Config, []string, error) {
+	if c.Site == "" {
+		return nil, nil, nil
+	}
+	s, err := site.Load(c.Site)
+	if err != nil || s.Fleet == nil {
+		return nil, nil, err
+	}
+	var seeds []string
+	for _, one := range s.Fleet.Seeds.Seed {
+		seeds = append(seeds, string(one.At))
+	}
+	cfg, err := membership(s, name, seed)
+	return cfg, seeds, err
+}
+
 // configure reads the platform's file. The plain variables stand in for what it does not have.
 func (c *serve) configure(getenv func(string) string) (relay.Config, limits, error) {
 	var cfg relay.Config
@@ -193,7 +225,7 @@
 	}
 	cfg.Known = []byte(root.Get("known").Raw)
 	lim := limits{cores: root.Get("limits.cores").Float(), memoryMB: root.Get("limits.memory_mb").Int(),
-		sockets: int(root.Get("limits.sockets").Int())}
+		sockets: int(root.Get("limits.sockets").Int()), name: root.Get("name").Str}
 	// $GW_MGMT comes before the file's, so that a new version beside the old one takes its own.
 	if mg := cmp.Or(getenv("GW_MGMT"), root.Get("mgmt").String()); mg != "" {
 		if lim.mgmt, err = netip.ParseAddrPort(mg); err != nil {
--- a/cmd/spurspread/site.go
+++ b/cmd/spurspread/site.go
@@ -38,6 +38,9 @@
 	if _, err := resumption(got); err != nil {
 		return err
 	}
+	if _, err := membership(got, "a-member", 0); err != nil {
+		return err
+	}
 	_, err = fmt.Fprintf(s.out, "%s: site %q: %s\n", c.File, got.Name, summary(got))
 	return err
 }
@@ -47,6 +50,9 @@
 	if s.Resume != nil {
 		on = append(on, fmt.Sprintf("resume tokens of %v, %d keys", s.Resume.Life.Std(), len(s.Resume.Keys.Key)))
 	}
+	if s.Fleet != nil {
+		on = append(on, fmt.Sprintf("membership at %s with %d seeds", s.Fleet.Listen, len(s.Fleet.Seeds.Seed)))
+	}
 	if s.Channels != nil {
 		on = append(on, fmt.Sprintf("channels (clients %v, nodes %v)", s.Channels.Clients, s.Channels.Nodes))
 	}
--- a/decide/duty/duty.go
+++ b/decide/duty/duty.go
@@ -37,6 +37,8 @@
 	Ping Call = iota
 	LameDuckCall
 	Rejoin
+	// Members asks for the fleet as this member sees it; it changes no duty.
+	Members
 )
 
 // MaxLine bounds a call with its line end, in bytes; a longer line is refused without being read further.
@@ -53,7 +55,7 @@
 var calls = []struct {
 	word []byte
 	call Call
-}{{[]byte("PING"), Ping}, {[]byte("LAMEDUCK"), LameDuckCall}, {[]byte("REJOIN"), Rejoin}}
+}{{[]byte("PING"), Ping}, {[]byte("LAMEDUCK"), LameDuckCall}, {[]byte("REJOIN"), Rejoin}, {[]byte("MEMBERS"), Members}}
 
 // Parse reads one call from a line without its end ("\n" or "\r\n" cut off). Words are upper case, as in the
 // protocol; a call takes no arguments, and blanks around it are forgiven.
@@ -89,6 +91,8 @@
 // once; REJOIN without a drain changes nothing; after SIGTERM neither can be taken back.
 func Apply(s State, c Call) Answer {
 	switch {
+	case c == Members: // who has a fleet answers it before it gets here
+		return Answer{s, false, "-ERR " + ErrUnknown.Error()}
 	case s == Stopping:
 		return Answer{s, false, "-ERR stopping"}
 	case c == Ping:
--- a/decide/member/member.go
+++ b/decide/member/member.go
@@ -28,29 +28,36 @@
 	// Step is how often Tick is to be called.
 	Step = 50 * ms
 
-	ackWait   = 150 * ms // from a ping to the asking of helpers, on a link of no known delay
+	ackWait   = 150 * ms // from a ping to its repetition and the asking of helpers, where answers take less
 	probeTime = 500 * ms // from a ping to the verdict, the same
-	probeMost = 2 * sec  // both grow with the link's delay, the verdict up to this
+	probeMost = 2 * sec  // both grow with what answers take, the verdict up to this
 	helpers   = 3        // asked to ping a member that does not answer
 	// Least is the least time of a suspicion before its member is held dead. With probeTime before it, a member that was
 	// paused for 2 s has half a second left to say that it is there, and a crash is seen by all in some 3 s.
 	Least = 2000 * ms
 	// Most is the same for one that only one other member has confirmed nothing of.
 	Most        = 6 * sec
-	pendingTime = 3 * sec  // an accusation that nobody confirms is forgotten after this
-	confirms    = 2        // members that must have failed to reach one by themselves, where there are so many
-	ownTry      = 4 * sec  // whoever has held one suspected for so long asks by himself
-	aloneTime   = 1 * sec  // hearing nobody for so long is a reason to doubt oneself
-	pauseTime   = 300 * ms // the same, without a Tick
-	doubtTime   = 1 * sec  // no accusation for so long after a pause
-
-	sweepMost = 4 // pings of a sweep at each Step
-
-	gossipTime  = 100 * ms
-	gossipTo    = 3 // members that news goes to at each gossipTime, besides going along with all else
-	freshSends  = 4 // a news item makes packets of its own until it was sent so often
-	maxNews     = 1024
-	maxAccusers = 8
+	pendingTime = 3 * sec // an accusation that nobody confirms is forgotten after this
+	// confirms is how many must have failed to reach one by themselves, where so many are heard. Of ten that ask, with one
+	// message in five lost, two fail by chance a hundred times as often as three.
+	confirms  = 3
+	hearTime  = 2 * sec  // who was heard within this can say what it fails to reach
+	ownTry    = 4 * sec  // whoever has held one suspected for so long asks by himself
+	aloneTime = 1 * sec  // hearing nobody for so long is a reason to doubt oneself
+	pauseTime = 300 * ms // the same, without a Tick
+	doubtTime = 1 * sec  // no accusation for so long after a pause
+
+	tries      = 4 // pings of a probe at most, one more each time that an answer is overdue; a power of two
+	sweepMost  = 4 // pings of a sweep at each Step
+	sweepEach  = 6 // pings for each that could not be reached, while the part of failures is over sweepFrom: two of three just now
+	sweepFrom  = 0.3
+	failWeight = 4
+	sweepAll   = 48
+
+	gossipTime = 100 * ms
+	gossipTo   = 3 // members that news goes to at each gossipTime, besides going along with all else
+	freshSends = 4 // a news item makes packets of its own until it was sent so often
+	maxNews    = 1024
 	// MaxRumors is how many go along in one message: with names of usual length a message stays within 1,200 bytes.
 	MaxRumors = 12
 
@@ -98,7 +105,7 @@
 	ID       ID
 	State    State
 	Inc      uint64
-	By       ID // who could not reach it, of Suspect and Dead
+	By       ID // who could not reach it, of Suspect and Dead; 0 of Suspect: as many as it takes
 	Instance uint64
 	Name     string
 	Addr     netip.AddrPort
@@ -167,6 +174,7 @@
 	inc     uint64
 	since   int64 // in this state
 	heard   int64 // anything from it
+	hears   bool  // see listen
 	differs int64 // since its view has differed from this one's, 0 while it does not
 
 	accusers  []ID
@@ -183,16 +191,17 @@
 
 // probe is the question to one peer under way.
 type probe struct {
-	seq   uint32
+	seq   uint32 // of the first ping; those after it have the next ones
 	began int64
+	sent  [tries]int64
+	count int  // of pings sent
 	asked bool // helpers are
 }
 
-// relayed is a ping sent for another member.
+// relayed is a probe that another member has asked for.
 type relayed struct {
 	mine, theirs uint32
-	for_         ID
-	about        ID
+	asker, about ID
 	until        int64
 }
 
@@ -225,6 +234,10 @@
 	reviveAt, syncAt    int64
 	doubtUntil, joinAt  int64
 	joined, leaving     bool
+	failing             float64 // part of the latest probes that failed
+	slow                float64 // what most answers take at most, microseconds
+	sweeps              int     // pings of a sweep still to be sent
+	hears               int     // members heard within hearTime, this one among them; confirms at most
 	superseded          bool
 	superseder          uint64
 	out                 []Send
@@ -282,6 +295,7 @@
 		f.paused(now)
 	}
 	f.ticked = now
+	f.listen(now)
 	if !f.leaving {
 		f.join(now)
 		f.turn(now)
@@ -294,6 +308,17 @@
 	return f.take()
 }
 
+// listen counts who can say what it fails to reach: those that are heard, and not failed to be reached themselves.
+func (f *Fleet) listen(now int64) {
+	f.hears = 0
+	for _, p := range f.order {
+		p.hears = p.state == Alive && !p.mine && now-p.heard < hearTime
+		if p.hears {
+			f.hears++
+		}
+	}
+}
+
 // paused takes back what was under way: answers may wait unread, and all that was suspected has had no time to be
 // refuted here.
 func (f *Fleet) paused(now int64) {
--- a/decide/member/receive.go
+++ b/decide/member/receive.go
@@ -1,6 +1,9 @@
 package member
 
-import "net/netip"
+import (
+	"net/netip"
+	"slices"
+)
 
 // Receive takes a message that came from an address; whose it is was proved before.
 func (f *Fleet) Receive(now int64, from netip.AddrPort, m Message) ([]Send, []Change) {
@@ -47,7 +50,10 @@
 
 // act does what the message asks.
 func (f *Fleet) act(now int64, from netip.AddrPort, p *peer, m Message) {
-	reply := func(a Message) { f.send(from, p, a) }
+	reply := func(a Message) {
+		f.send(from, p, a)
+		f.out[len(f.out)-1].ID = m.From
+	}
 	switch m.Kind {
 	case Ping:
 		a := Message{Kind: Ack, Seq: m.Seq}
@@ -61,9 +67,7 @@
 		f.ack(now, p, m)
 	case Ask:
 		if about := f.peers[m.About]; about != nil && p != nil && len(f.relays) < maxRelays {
-			f.seq++
-			f.relays = append(f.relays, relayed{f.seq, m.Seq, m.From, m.About, now + probeMost})
-			f.send(about.Addr, about, Message{Kind: Ping, Seq: f.seq})
+			f.help(now, about, m.From, m.Seq)
 		}
 	case Compare:
 		f.entries(m, reply)
@@ -80,15 +84,15 @@
 		f.answered(now, m.About, m.Seq, false)
 		return
 	}
-	for i, r := range f.relays {
-		if r.mine == m.Seq && r.about == m.From {
-			f.relays = append(f.relays[:i], f.relays[i+1:]...)
-			if to := f.peers[r.for_]; to != nil {
-				f.send(to.Addr, to, Message{Kind: Ack, Seq: r.theirs, About: r.about})
-			}
-			return
+	f.relays = slices.DeleteFunc(f.relays, func(r relayed) bool {
+		if r.mine != m.Seq-m.Seq%tries || r.about != m.From {
+			return false
 		}
-	}
+		if to := f.peers[r.asker]; to != nil {
+			f.send(to.Addr, to, Message{Kind: Ack, Seq: r.theirs, About: r.about})
+		}
+		return true
+	})
 	if p != nil && m.Got > p.toldAll {
 		p.told += float64(m.Got - p.toldAll)
 		p.toldAll = m.Got
--- a/decide/member/rumor.go
+++ b/decide/member/rumor.go
@@ -20,14 +20,14 @@
 		return
 	}
 	if r.Inc == p.inc && r.State == Suspect {
-		f.accused(now, p, r)
+		f.accused(now, now, p, r)
 		return
 	}
 	if r.State == Suspect { // under an incarnation that was not heard of: it lives there
 		alive := r
 		alive.State, alive.By = Alive, 0
 		f.become(now, p, alive)
-		f.accused(now, p, r)
+		f.accused(now, now, p, r)
 		return
 	}
 	if r.Inc > p.inc || r.State != p.state {
@@ -98,27 +98,24 @@
 	f.tell(r)
 }
 
-// accused adds one that could not reach a member. One alone makes nobody suspect: it may be its own link that is cut. Some of
-// those who hear of it find out for themselves; once there are enough, it is suspected, and all are told.
-func (f *Fleet) accused(now int64, p *peer, r Rumor) {
-	if r.By == 0 || r.By == p.ID || p.state >= Dead || slices.Contains(p.accusers, r.By) || len(p.accusers) >= maxAccusers {
+// accused takes word of one that could not reach a member, or, from nobody in particular, of as many as it takes. One alone
+// makes nobody suspect: it may be its own link that is cut. Some of those who hear of it find out for themselves; once there
+// are enough, it is suspected, from the first of them on if that is not long ago, and all are told.
+func (f *Fleet) accused(since, now int64, p *peer, r Rumor) {
+	if r.By == p.ID || p.state != Alive {
 		return
 	}
-	if len(p.accusers) == 0 {
-		p.suspectAt = now
+	if r.By != 0 && !slices.Contains(p.accusers, r.By) {
+		if len(p.accusers) == 0 {
+			p.suspectAt = since
+		}
+		p.accusers = append(p.accusers, r.By)
 	}
-	p.accusers = append(p.accusers, r.By)
-	switch {
-	case p.state == Suspect:
+	if r.By == 0 || len(p.accusers) >= f.needed(p) {
+		p.state, p.since, p.suspectAt = Suspect, now, max(p.suspectAt, now-probeTime)
+		f.changes = append(f.changes, Change{p.ID, p.Name, Alive, Suspect, p.inc})
+		r.By = 0
 		f.tell(r)
-	case len(p.accusers) >= f.needed():
-		was := p.state
-		p.state, p.since, p.suspectAt = Suspect, now, max(p.suspectAt, now-probeTime) // from the first, if that is not long ago
-		f.changes = append(f.changes, Change{p.ID, p.Name, was, Suspect, p.inc})
-		for _, by := range p.accusers {
-			r.By = by
-			f.tell(r)
-		}
 	}
 	if !p.mine && !f.leaving {
 		f.second(now, p)
@@ -150,14 +147,15 @@
 	return out
 }
 
-// gossip sends fresh news on its own.
+// gossip sends fresh news on its own, to those who are not suspected: after a crash of many most of it would be lost, and who
+// is suspected is asked, and so told, all the same.
 func (f *Fleet) gossip(now int64) {
 	if now < f.gossipAt {
 		return
 	}
 	f.gossipAt = now + gossipTime*3/4 + f.jitter(gossipTime/2)
 	fresh := func() bool { return slices.ContainsFunc(f.spread, func(n news) bool { return n.sent < freshSends }) }
-	for _, p := range f.some(gossipTo, func(p *peer) bool { return p.state == Alive || p.state == Suspect }) {
+	for _, p := range f.some(gossipTo, func(p *peer) bool { return p.state == Alive && !p.mine }) {
 		if !fresh() {
 			return
 		}
--- a/decide/member/view.go
+++ b/decide/member/view.go
@@ -48,7 +48,7 @@
 func (f *Fleet) Superseded() bool { return f.superseded }
 
 // Divisor is by how much a budget of the whole fleet is divided to have this member's part; see share.
-func (f *Fleet) Divisor(now int64) float64 { return f.share.divisor() }
+func (f *Fleet) Divisor() float64 { return f.share.divisor() }
 
 // Holds is what a member is held to be.
 func (f *Fleet) Holds(id ID) State {
--- a/decide/member/watch.go
+++ b/decide/member/watch.go
@@ -46,19 +46,39 @@
 	if p.probe != nil || p.state != Alive && p.state != Suspect {
 		return
 	}
-	f.seq++
+	f.seq += tries
 	p.probe, p.triedAt = &probe{seq: f.seq, began: now}, now
-	f.question(p, f.seq)
+	f.question(now, p)
 }
 
-func (f *Fleet) question(p *peer, seq uint32) {
+// help asks a peer for another member, that could not reach it: if this one fails, too, it says so.
+func (f *Fleet) help(now int64, p *peer, asker ID, theirs uint32) {
+	if p.probe == nil {
+		if f.ping(now, p); p.probe == nil {
+			return
+		}
+		p.probe.asked = true // helpers need no helpers
+	}
+	f.relays = append(f.relays, relayed{p.probe.seq, theirs, asker, p.ID, now + 2*probeMost})
+}
+
+// question sends a probe's ping, the first or one more: each under a number of its own, so that an answer tells how long it
+// took.
+func (f *Fleet) question(now int64, p *peer) {
+	q := p.probe
 	p.sent++
-	f.send(p.Addr, p, Message{Kind: Ping, Seq: seq})
+	q.sent[q.count] = now
+	f.send(p.Addr, p, Message{Kind: Ping, Seq: q.seq + uint32(q.count)})
+	q.count++
 }
 
-// helpAt and endAt are how long after a ping helpers are asked and the verdict falls, where an answer usually takes rtt.
-func helpAt(rtt float64) int64 { return min(max(ackWait, int64(3*rtt/2)), probeMost/2) }
-func endAt(rtt float64) int64  { return min(max(probeTime, int64(4*rtt)), probeMost) }
+// usual is how long an answer may take that is no sign of anything: what most take from any member, or from this one.
+func (f *Fleet) usual(p *peer) int64 { return int64(max(p.rtt, f.slow)) }
+
+// againAt, helpAt and endAt are how long after a ping it is repeated, helpers are asked, and the verdict falls.
+func againAt(usual int64) int64 { return min(max(ackWait, usual), probeMost/3) }
+func helpAt(usual int64) int64  { return 2 * againAt(usual) }
+func endAt(usual int64) int64   { return min(helpAt(usual)+max(probeTime-2*ackWait, usual), probeMost) }
 
 // follow looks after a probe: helpers are asked, and in the end this member has failed to reach the peer.
 func (f *Fleet) follow(now int64, p *peer) {
@@ -66,7 +86,7 @@
 	case p.state != Suspect || p.probe != nil:
 	case p.mine && now-p.triedAt >= probeTime:
 		f.ping(now, p)
-	case !p.mine && len(p.accusers) < f.needed() && now-max(p.suspectAt, p.triedAt) >= ownTry:
+	case !p.mine && now-max(p.suspectAt, p.triedAt) >= ownTry:
 		p.triedAt = now
 		f.second(now, p)
 	}
@@ -75,33 +95,27 @@
 		return
 	}
 	late := now - q.began
-	if !q.asked && late >= helpAt(p.rtt) {
+	usual := f.usual(p)
+	if q.count < tries && late >= int64(q.count)*againAt(usual) {
+		f.question(now, p)
+	}
+	if !q.asked && late >= helpAt(usual) {
 		q.asked = true
-		f.question(p, q.seq)
-		for _, h := range f.some(helpers, func(o *peer) bool { return o != p && o.state == Alive }) {
+		for _, h := range f.some(helpers, func(o *peer) bool { return o != p && o.state == Alive && !o.mine }) {
 			f.send(h.Addr, h, Message{Kind: Ask, Seq: q.seq, About: p.ID})
 		}
 	}
-	if late >= endAt(p.rtt) {
+	if late >= endAt(usual) {
 		p.probe = nil
 		f.lost[q.seq] = lostPing{p.ID, now}
-		f.accuse(now, p)
+		f.accuse(now, p, q)
 	}
 }
 
-// sweep asks whoever was not asked for longest, while this member fails to reach several: in a crash of many, or a cut, most
+// sweep asks whoever was not asked for longest, while much of what this member asks fails: in a crash of many, or a cut, most
 // watchers are gone themselves, and waiting for one to find out after the other would take too long.
 func (f *Fleet) sweep(now int64) {
-	failing := 0
-	for _, p := range f.order {
-		if p.mine && p.state < Dead && now-p.suspectAt < pendingTime {
-			failing++
-		}
-	}
-	if failing < max(2, min(3, len(f.rings[0])/3)) {
-		return
-	}
-	for range sweepMost {
+	for range min(sweepMost, f.sweeps) {
 		var oldest *peer
 		for _, p := range f.order {
 			if p.state == Alive && p.probe == nil && now-p.triedAt >= Turn*Watchers && (oldest == nil || p.triedAt < oldest.triedAt) {
@@ -111,6 +125,7 @@
 		if oldest == nil {
 			return
 		}
+		f.sweeps--
 		f.ping(now, oldest)
 	}
 }
@@ -124,23 +139,45 @@
 }
 
 // accuse says that this member could not reach the peer. It says nothing while it doubts itself.
-func (f *Fleet) accuse(now int64, p *peer) {
+func (f *Fleet) accuse(now int64, p *peer, q *probe) {
 	if f.Doubts(now) || p.state != Alive && p.state != Suspect {
 		return
 	}
 	f.Accusations++
+	if f.failing += (1 - f.failing) / failWeight; f.failing > sweepFrom {
+		f.sweeps = min(f.sweeps+sweepEach, sweepAll)
+	}
 	p.mine = true
 	r := Rumor{ID: p.ID, State: Suspect, Inc: p.inc, By: f.self.ID, Instance: p.Instance, Name: p.Name, Addr: p.Addr}
-	f.accused(now, p, r)
-	if p.state == Alive { // nobody has confirmed it: a few are asked to
-		for _, o := range f.some(Watchers, func(o *peer) bool { return o != p && o.state == Alive }) {
+	f.accused(q.began+max(probeTime, 2*f.usual(p)), now, p, r)
+	if p.state != Alive {
+		return
+	}
+	// Not enough have failed to reach it: those who asked are told, or where nobody did, a few are asked to try.
+	asked := false
+	for _, a := range f.relays {
+		if o := f.peers[a.asker]; a.mine == q.seq && o != nil {
+			asked = true
 			f.send(o.Addr, o, Message{Kind: Gossip, Rumors: []Rumor{r}})
 		}
 	}
+	if asked {
+		return
+	}
+	for _, o := range f.some(Watchers, func(o *peer) bool { return o != p && o.state == Alive && !o.mine }) {
+		f.send(o.Addr, o, Message{Kind: Gossip, Rumors: []Rumor{r}})
+	}
 }
 
-// needed is how many must have failed to reach one that is suspected.
-func (f *Fleet) needed() int { return min(confirms, max(len(f.rings[0])-1, 0)+1) }
+// needed is how many must have failed to reach one that is suspected: as many as there are that could say so, this member
+// among them, up to confirms.
+func (f *Fleet) needed(p *peer) int {
+	able := f.hears + 1
+	if p.hears {
+		able--
+	}
+	return min(confirms, able)
+}
 
 // judge holds those dead whose suspicion has lasted, as far as this member could not reach them itself.
 func (f *Fleet) judge(now int64) {
@@ -151,7 +188,7 @@
 		if p.state != Suspect || !p.mine {
 			continue
 		}
-		if now-p.suspectAt >= Least && len(p.accusers) >= f.needed() {
+		if now-p.suspectAt >= Least {
 			f.hear(now, Rumor{ID: p.ID, State: Dead, Inc: p.inc, By: f.self.ID, Instance: p.Instance, Name: p.Name, Addr: p.Addr})
 		}
 	}
@@ -163,26 +200,37 @@
 	if p == nil {
 		return
 	}
-	if q := p.probe; q != nil && q.seq == seq {
-		if direct {
+	if q := p.probe; q != nil && q.seq == seq-seq%tries {
+		if nth := int(seq % tries); direct && nth < q.count {
 			p.answered++
-			took := float64(now - q.began) // of an answer to the second question more than it took: that errs to the safe side
+			f.failing -= f.failing / failWeight
+			took := float64(now - q.sent[nth])
 			if p.rtt == 0 {
 				p.rtt = took
 			}
 			p.rtt += (took - p.rtt) / 8
+			f.took(took)
 		}
 		p.probe = nil
 		f.cleared(p)
 		return
 	}
-	if l, ok := f.lost[seq]; ok && l.id == id {
-		delete(f.lost, seq)
+	if l, ok := f.lost[seq-seq%tries]; ok && l.id == id {
+		delete(f.lost, seq-seq%tries)
 		f.cleared(p)
 		p.rtt = max(p.rtt, float64(now-l.at)+float64(probeTime)) // it is slow, not gone
 	}
 }
 
+// took notes how long an answer has taken: what most take rises fast and falls slowly.
+func (f *Fleet) took(t float64) {
+	if t > f.slow {
+		f.slow += (t - f.slow) / 8
+	} else {
+		f.slow += (t - f.slow) / 32
+	}
+}
+
 // cleared forgets what was said against one that this member has just reached itself, as far as nobody else holds to it.
 func (f *Fleet) cleared(p *peer) {
 	if p.mine = false; p.state == Alive {
@@ -197,7 +245,7 @@
 	}
 	f.reviveAt = now + reviveTime*3/4 + f.jitter(reviveTime/2)
 	for _, p := range f.some(1, func(p *peer) bool { return p.state == Dead }) {
-		f.seq++
+		f.seq += tries
 		f.send(p.Addr, p, Message{Kind: Ping, Seq: f.seq})
 	}
 }
--- a/internal/form/schema.go
+++ b/internal/form/schema.go
@@ -159,16 +159,30 @@
 	}
 	walk(root, "")
 	for _, set := range order {
-		if len(keys[set]) != 1 {
-			panic("form: " + set + " must be defined by one attribute")
-		}
-		w.identity("key", set, "", keys[set][0])
+		w.identity("key", set, "", union(set, keys[set]))
 		for i, r := range refs[set] {
 			w.identity("keyref", fmt.Sprintf("%s-%d", set, i+1), fmt.Sprintf(` refer="f:%s"`, set), r)
 		}
 	}
 }
 
+// union is one place for several that define names of one set, each by the same attribute.
+func union(set string, places []string) string {
+	if len(places) == 0 {
+		panic("form: nothing defines " + set)
+	}
+	var paths []string
+	var attr string
+	for _, p := range places {
+		path, name, _ := strings.Cut(p, "\x00")
+		if attr != "" && name != attr {
+			panic("form: " + set + " must be defined by attributes of one name")
+		}
+		paths, attr = append(paths, path), name
+	}
+	return strings.Join(paths, "|") + "\x00" + attr
+}
+
 func (w *writer) identity(kind, name, more, at string) {
 	path, field, _ := strings.Cut(at, "\x00")
 	w.open("<xs:%s name=%q%s>", kind, name, more)
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -40,6 +40,10 @@
 	Passed       = "passed"        // standing connections given to the successor
 	Adopted      = "adopted"       // standing connections taken over from an older process, since the start
 	Echoes       = "echoes"        // outcomes that had the cause of another, and were no evidence, since the start
+	Member       = "member"        // a member of the fleet of balancers, by its name
+	State        = "state"         // what it is held to be
+	Before       = "before"        // and was before
+	Incarnation  = "incarnation"   // under which it says so
 	Count        = "count"         // how many of what the message speaks of
 	Reason       = "reason"        // why, as one word
 )
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,297 @@
+// Package peer carries messages between members of a fleet of balancers in datagrams, on the program's one loop, and bounds
+// what a flood of them may cost. What a message means, and who is in the fleet, is decided elsewhere (decide/member).
+package peer
+
+import (
+	"cmp"
+	"hash/fnv"
+	"math"
+	"net/netip"
+
+	"github.com/sirupsen/logrus"
+
+	"spurspread/decide/member"
+	"spurspread/internal/logs"
+	"spurspread/internal/loop"
+	"spurspread/internal/peer/packet"
+)
+
+const (
+	// Budget is how many bytes a second a member sends at most on average; Reserve how many it may have saved up. Pings and
+	// their answers are sent whatever the budget says: there are so many and no more, and without them a member is dead.
+	Budget  = 4096
+	Reserve = 64 << 10
+
+	// What is opened in a second: datagrams from addresses of members, and from others. What is more is dropped unread:
+	// opening one takes some microseconds.
+	openKnown  = 4000
+	openOthers = 400
+
+	// senders are remembered for what they have sent.
+	maxSenders = 2 * member.MaxMembers
+	// helloEvery is how often one address is told which process this is.
+	helloEvery = 200_000
+)
+
+// Config is what a member of a fleet is started with.
+type Config struct {
+	Name   string
+	Listen netip.AddrPort
+	// Tells is the address that others are told; Listen where it is not valid.
+	Tells netip.AddrPort
+	Seeds []netip.AddrPort
+	Ring  *packet.Ring
+	Seed  uint64
+	// Reach has the addresses at which members are reached from here, by name, where those are not what they tell.
+	Reach map[string]netip.AddrPort
+	// Changed is told how many members are there, and which place this one has among them by its id.
+	Changed func(members, place int)
+}
+
+// Host is this process's part in the fleet.
+type Host struct {
+	l     *loop.Loop
+	log   *logrus.Logger
+	cfg   Config
+	self  member.Self
+	fleet *member.Fleet
+	sock  *loop.Datagrams
+	timer loop.Ref
+
+	count    uint64
+	plain    []byte
+	sealed   []byte
+	senders  map[sender]*packet.Window
+	instance map[member.ID]uint64
+	reach    map[member.ID]netip.AddrPort
+	whose    map[netip.AddrPort]member.ID // the members at addresses that were heard from
+	known    map[netip.AddrPort]bool
+	hellos   map[netip.AddrPort]loop.Micros
+
+	budget       float64
+	budgetAt     loop.Micros
+	ours, others int // opened in this second, see mayOpen
+	second       loop.Micros
+	counts       Counts
+}
+
+// sender is one process of a member.
+type sender struct {
+	id       member.ID
+	instance uint64
+}
+
+// Counts are what has happened since the start.
+type Counts struct {
+	Sent, SentBytes, Taken, Saved     int64 // Saved: not sent, for want of budget
+	Malformed, Forged, Replayed, Lost int64 // Lost: not opened, for want of time
+}
+
+// NameID is the id that stands for a member's name.
+func NameID(name string) member.ID {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name)) // never fails
+	return member.ID(max(h.Sum64(), 1))
+}
+
+// Start joins the fleet.
+func Start(l *loop.Loop, cfg Config, log *logrus.Logger) (*Host, error) {
+	h := &Host{l: l, log: log, cfg: cfg, senders: map[sender]*packet.Window{}, instance: map[member.ID]uint64{},
+		reach: map[member.ID]netip.AddrPort{}, whose: map[netip.AddrPort]member.ID{}, known: map[netip.AddrPort]bool{}, hellos: map[netip.AddrPort]loop.Micros{},
+		budget: Reserve, budgetAt: l.Now()}
+	sock, err := l.ListenDatagrams(cfg.Listen, h.receive)
+	if err != nil {
+		return nil, err
+	}
+	h.sock = sock
+	tells := cfg.Tells
+	if !tells.IsValid() {
+		tells = sock.Addr()
+	}
+	for name, at := range cfg.Reach {
+		h.reach[NameID(name)], h.whose[at] = at, NameID(name)
+	}
+	// A later process has a later instance, as far as the clock tells; the last bits tell two of one moment apart.
+	h.self = member.Self{ID: NameID(cfg.Name), Name: cfg.Name, Addr: tells, Instance: uint64(l.Now())<<12 | cfg.Seed&0xfff}
+	h.fleet = member.New(member.Config{Self: h.self, Inc: uint64(l.Now() / 1000), Seeds: cfg.Seeds, Seed: cfg.Seed}, l.Now())
+	log.WithFields(logrus.Fields{logs.Listen: sock.Addr(), logs.Member: cfg.Name}).Info("in the fleet")
+	h.tick()
+	return h, nil
+}
+
+// Addr is where the member listens.
+func (h *Host) Addr() netip.AddrPort { return h.sock.Addr() }
+
+// Seeds takes the addresses that the seeds have now.
+func (h *Host) Seeds(addrs []netip.AddrPort) { h.fleet.Seeds(addrs) }
+
+// View is the fleet as this member sees it.
+func (h *Host) View() []member.Member { return h.fleet.View(h.l.Now()) }
+
+// Doubts tells whether this member has reason to doubt itself.
+func (h *Host) Doubts() bool { return h.fleet.Doubts(h.l.Now()) }
+
+// Counts are what has happened so far.
+func (h *Host) Counts() Counts { return h.counts }
+
+// Divisor is by how much the fleet's budgets are divided to have this member's part.
+func (h *Host) Divisor() float64 { return h.fleet.Divisor() }
+
+// Leave tells the fleet that this member goes.
+func (h *Host) Leave() { h.carry(h.fleet.Leave(h.l.Now())) }
+
+func (h *Host) tick() {
+	h.timer = h.l.After(member.Step, h.tick)
+	h.carry(h.fleet.Tick(h.l.Now()))
+	if h.fleet.Superseded() {
+		h.log.WithField(logs.Member, h.cfg.Name).Warn("a later process has this name: it is the member now")
+		h.Close()
+		return
+	}
+	if h.cfg.Changed != nil {
+		h.cfg.Changed(int(math.Ceil(h.fleet.Divisor())), h.fleet.Place())
+	}
+}
+
+// carry sends what the decisions say, and logs what has changed.
+func (h *Host) carry(out []member.Send, changes []member.Change) {
+	for _, c := range changes {
+		h.log.WithFields(logrus.Fields{logs.Member: c.Name, logs.State: c.To.String(), logs.Before: c.From.String(), logs.Incarnation: c.Inc}).
+			Info("a member has changed")
+	}
+	for i := range out {
+		h.send(out[i].To, out[i].ID, &out[i].Msg)
+	}
+}
+
+func (h *Host) send(to netip.AddrPort, id member.ID, m *member.Message) {
+	if id == 0 {
+		id = h.whose[to]
+	}
+	if at, ok := h.reach[id]; ok {
+		to = at
+	}
+	h.count++
+	h.plain = packet.Encode(h.plain[:0], packet.Envelope{To: h.instance[id], Count: h.count, Addr: h.self.Addr}, m)
+	size := float64(len(h.plain) + packet.Overhead)
+	now := h.l.Now()
+	h.budget = min(h.budget+Budget*float64(now-h.budgetAt)/1e6, Reserve)
+	h.budgetAt = now
+	if m.Kind != member.Ping && m.Kind != member.Ack && h.budget < size {
+		h.counts.Saved++
+		return
+	}
+	h.budget -= size
+	h.sealed = h.cfg.Ring.Seal(h.sealed[:0], h.plain)
+	h.counts.Sent++
+	h.counts.SentBytes += int64(len(h.sealed))
+	h.sock.Send(to, h.sealed)
+}
+
+// receive takes one datagram.
+func (h *Host) receive(from netip.AddrPort, b []byte) {
+	if !h.mayOpen(from) {
+		h.counts.Lost++
+		return
+	}
+	plain, err := h.cfg.Ring.Open(b)
+	if err != nil {
+		h.counts.Forged++
+		return
+	}
+	e, m, err := packet.Decode(plain)
+	if err != nil {
+		h.counts.Malformed++
+		return
+	}
+	if m.From != h.self.ID && !h.fresh(from, e, &m) {
+		return
+	}
+	h.heard(from, e, m.From)
+	if m.Kind == packet.Hello {
+		h.instance[m.From] = m.Instance
+		return
+	}
+	h.counts.Taken++
+	h.known[from] = true
+	if e.Addr.IsValid() {
+		from = e.Addr
+	}
+	h.carry(h.fleet.Receive(h.l.Now(), from, m))
+}
+
+// heard notes where a member is.
+func (h *Host) heard(from netip.AddrPort, e packet.Envelope, id member.ID) {
+	if len(h.whose) > 2*maxSenders {
+		clear(h.whose)
+	}
+	h.whose[from] = id
+	if e.Addr.IsValid() {
+		h.whose[e.Addr] = id
+	}
+}
+
+// mayOpen bounds what a flood makes this process open.
+func (h *Host) mayOpen(from netip.AddrPort) bool {
+	if now := h.l.Now(); now-h.second >= 1_000_000 {
+		h.second, h.ours, h.others = now, 0, 0
+		if len(h.known) > maxSenders {
+			clear(h.known)
+		}
+	}
+	if h.known[from] {
+		h.ours++
+		return h.ours <= openKnown
+	}
+	h.others++
+	return h.others <= openOthers
+}
+
+// fresh tells whether a datagram was made for this very process and has not come before. One made for a process before
+// this, or for one whose instance its sender did not know, may have been recorded: its sender is told which process this
+// is, and says again what it has to say.
+func (h *Host) fresh(from netip.AddrPort, e packet.Envelope, m *member.Message) bool {
+	if e.To != h.self.Instance {
+		if now := h.l.Now(); m.Kind != packet.Hello && now-h.hellos[from] >= helloEvery {
+			if len(h.hellos) > maxSenders {
+				clear(h.hellos)
+			}
+			h.hellos[from] = now
+			h.answerHello(from, m)
+		}
+		// A hello is believed as far as it names an instance: told wrongly, this process is not heard until it is told again.
+		return m.Kind == packet.Hello && e.To == 0
+	}
+	key := sender{m.From, m.Instance}
+	w := h.senders[key]
+	if w == nil {
+		if len(h.senders) >= maxSenders {
+			clear(h.senders) // what came before is taken once more, and says nothing new
+		}
+		w = &packet.Window{}
+		h.senders[key] = w
+	}
+	if !w.Take(e.Count) {
+		h.counts.Replayed++
+		return false
+	}
+	h.instance[m.From] = cmp.Or(m.Instance, h.instance[m.From])
+	return true
+}
+
+func (h *Host) answerHello(from netip.AddrPort, m *member.Message) {
+	h.count++
+	h.plain = packet.Encode(h.plain[:0], packet.Envelope{Count: h.count, Addr: h.self.Addr},
+		&member.Message{Kind: packet.Hello, From: h.self.ID, Instance: h.self.Instance})
+	if at, ok := h.reach[m.From]; ok {
+		from = at
+	}
+	h.sealed = h.cfg.Ring.Seal(h.sealed[:0], h.plain)
+	h.sock.Send(from, h.sealed)
+}
+
+// Close leaves without a word.
+func (h *Host) Close() {
+	h.l.Cancel(&h.timer)
+	h.sock.Close()
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -77,6 +77,8 @@
 	counts     counts
 	drain      drain
 	keeping    bool // the list is to be kept soon
+	members    int  // of the fleet, 0 where nobody has told
+	place      int  // among them
 	resumption resumption
 }
 
@@ -117,6 +119,24 @@
 // Addr is where the relay listens.
 func (r *Relay) Addr() netip.AddrPort { return r.ingress.Addr() }
 
+// Fleet tells how many balancers share the fleet's budgets now, and which place this one has among them. Until then, and
+// where nobody tells, the settings' numbers hold.
+func (r *Relay) Fleet(members, place int) {
+	if members == r.members && place == r.place {
+		return
+	}
+	r.members, r.place = members, place
+	r.counted(&r.cfg.Settings.Logic)
+	r.tell(logic.Retuned{Settings: r.cfg.Settings.Logic})
+}
+
+// counted puts what was told of the fleet in place of the settings' numbers.
+func (r *Relay) counted(s *logic.Settings) {
+	if r.members > 0 {
+		s.Balancers, s.Rank = r.members, r.place
+	}
+}
+
 // Reload takes what a configuration that was read again may change under way: the settings, discovery's address and
 // the number of descriptors. Settings are swapped whole: requests from now on are asked under them, and connections
 // keep the class that they were asked under.
@@ -124,6 +144,7 @@
 	if cfg.Listen != r.cfg.Listen {
 		r.log.Warn("a change of listen takes a restart")
 	}
+	r.counted(&cfg.Settings.Logic)
 	if !reflect.DeepEqual(cfg.Settings, r.cfg.Settings) {
 		r.cfg.Settings = cfg.Settings
 		r.tell(logic.Retuned{Settings: cfg.Settings.Logic})
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -22,9 +22,41 @@
 type Site struct {
 	Name     form.Name `xml:"name,attr" use:"required" doc:"what the installation is called"`
 	Channels *Channels `xml:"channels" doc:"SSH-style multiplexed channels; off where absent"`
+	Fleet    *Fleet    `xml:"fleet" doc:"the balancers know of each other; off where absent"`
 	Resume   *Resume   `xml:"resume" doc:"connections that move carry a token and continue where they left off; off where absent"`
 }
 
+// Fleet says how this balancer is a member of the fleet. See docs/operate/membership.md.
+type Fleet struct {
+	Member form.Name    `xml:"member,attr" doc:"what this member is called; the platform's name of the balancer if not given"`
+	Listen form.Address `xml:"listen,attr" use:"required" doc:"where this member takes datagrams"`
+	Tells  form.Address `xml:"tells,attr" doc:"the address that other members are told; that of listen if not given"`
+	Seeds  Seeds        `xml:"seeds" doc:"members that are asked for the others at the start; any of them may be down"`
+	Reach  *Reach       `xml:"reach" doc:"members that are reached from here at other addresses than they tell"`
+	Keys   Keys         `xml:"keys" doc:"what seals datagrams; all members have the same"`
+}
+
+// Seeds are members that know the others.
+type Seeds struct {
+	Seed []*Seed `xml:"seed" most:"64"`
+}
+
+// Seed is one of them.
+type Seed struct {
+	At form.Place `xml:"at,attr" use:"required" key:"seeds" doc:"a host, by name or address, and the port where it takes datagrams; this member itself is passed over"`
+}
+
+// Reach has the addresses of members as they are from here.
+type Reach struct {
+	Member []*Reached `xml:"member" most:"4096"`
+}
+
+// Reached is one of them.
+type Reached struct {
+	Name form.Name    `xml:"name,attr" use:"required" key:"reached" doc:"the member"`
+	At   form.Address `xml:"at,attr" use:"required" doc:"where it is reached from here"`
+}
+
 // Resume says how connections continue elsewhere with a token. See docs/protocol/resume.md.
 type Resume struct {
 	Life   form.Duration `xml:"life,attr" default:"60s" min:"1s" max:"10m" doc:"how long a token may be presented after it was given"`
@@ -55,9 +87,9 @@
 	Plain    form.Duration `xml:"plain,attr" default:"10m" min:"1s" max:"24h" doc:"so long it is remembered that a node speaks plain lines only"`
 }
 
-// Keys are the keys that tokens are sealed with.
+// Keys are the keys that tokens, or the fleet's datagrams, are sealed with.
 type Keys struct {
-	Key []*Key `xml:"key" least:"1" most:"8" doc:"a key; a token sealed with one that is not listed is refused"`
+	Key []*Key `xml:"key" least:"1" most:"8" doc:"a key; what is sealed with one that is not listed is refused"`
 }
 
 // Key is one of them. To rotate: add the new one as 'accept' everywhere, then make it 'mint', and remove the old one
--- a/lab/virtual/fleet.go
+++ b/lab/virtual/fleet.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"time"
 
 	"spurspread/decide/member"
 	"spurspread/internal/peer/packet"
+	"spurspread/lab/link"
+	"spurspread/lab/trial"
 )
 
 // swim is a member as the balancer has it.
@@ -16,12 +19,13 @@
 // Members builds members as the balancer has them, each knowing the first few as seeds.
 func Members(seeds int) func(w *World, i, start int) Detector {
 	return func(w *World, i, start int) Detector {
-		cfg := member.Config{Seed: w.rng.Uint64(), Inc: uint64(w.Now / Millisecond), Self: member.Self{ID: MemberID(i),
-			Name: fmt.Sprintf("n%d", i), Addr: Addr(i), Instance: uint64(w.Now)<<8 | uint64(start)}}
+		clock := w.now + w.skew[i]
+		cfg := member.Config{Seed: w.rng.Uint64(), Inc: uint64(clock / Millisecond), Self: member.Self{ID: MemberID(i),
+			Name: fmt.Sprint("n", i), Addr: Addr(i), Instance: uint64(clock)<<8 | uint64(start)}}
 		for s := range seeds {
 			cfg.Seeds = append(cfg.Seeds, Addr(s))
 		}
-		return swim{member.New(cfg, w.Now)}
+		return swim{member.New(cfg, w.now)}
 	}
 }
 
@@ -55,3 +59,34 @@
 
 // Inc is part of Detector.
 func (s swim) Inc() uint64 { return s.f.Inc() }
+
+// Play plays a script, with members as build makes them. The same seed brings the same events.
+func Play(name string, members int, seed uint64, build func(w *World, i, start int) Detector, log func(string, ...any)) (*trial.Result, error) {
+	do := trial.Scenarios[name]
+	if do == nil {
+		return nil, fmt.Errorf("no scenario %q; there are %v", name, trial.Names())
+	}
+	w := NewWorld(members, seed, link.Link{Delay: 200 * time.Microsecond, Jitter: 400 * time.Microsecond}, build)
+	for i := range members {
+		w.at(w.rng.Int64N(Second), evFault, i, 0, func() { w.Start(i) })
+	}
+	w.Run(w.now + trial.JoinTime.Microseconds())
+	clear(w.Bytes)
+	from := w.now
+	t := trial.New(w, log)
+	index := map[string]int{}
+	for i := range members {
+		index[fmt.Sprint("n", i)] = i
+	}
+	w.Changed = func(observer int, c member.Change) { t.Changed(w.Now(), observer, index[c.Name], c.From, c.To, c.Inc) }
+	t.Watch()
+	last := do(t)
+	w.Run(from + (last + trial.Settle).Microseconds())
+	sum := int64(0)
+	for _, b := range w.Bytes {
+		sum += b
+	}
+	r := t.Result(name, seed)
+	r.Hash, r.BytesPerS = w.Hash(), float64(sum)/float64(members)/(float64(w.now-from)/float64(Second))
+	return r, nil
+}
