Judge suspicions by fresh evidence, one-way cuts by both ends; contradict what a stepped clock left

Ruled out: gossip lost on links, clocks, the checker, but for one thing: pauses 4 ms apart were two to it. A process started after the clock was set back took its own old record for a later process, and fell silent.

Now who declares a suspicion has failed itself, just now; who was alone begins anew; who is dead by one's own judgement must answer to return; one that speaks and holds this member dead is apart; a rival has to answer. The rig takes addresses of its own: one trial had lost a port to another process.

--- a/decide/member/member.go
+++ b/decide/member/member.go
@@ -37,15 +37,17 @@
 	Least = 2000 * ms
 	// Most is the same for one that only one other member has confirmed nothing of.
 	Most        = 6 * sec
-	pendingTime = 3 * sec // an accusation that nobody confirms is forgotten after this
+	pendingTime = 2 * sec // an accusation that nobody confirms is forgotten after this
 	// confirms is how many must have failed to reach one by themselves, where so many are heard. Of ten that ask, with one
 	// message in five lost, two fail by chance a hundred times as often as three.
 	confirms  = 3
-	hearTime  = 2 * sec  // who was heard within this can say what it fails to reach
-	ownTry    = 4 * sec  // whoever has held one suspected for so long asks by himself
-	aloneTime = 1 * sec  // hearing nobody for so long is a reason to doubt oneself
-	pauseTime = 300 * ms // the same, without a Tick
-	doubtTime = 1 * sec  // no accusation for so long after a pause
+	hearTime  = 1200 * ms // who was heard within this can say what it fails to reach
+	hearsay   = 300 * ms  // how long others will have suspected one before this member is told
+	backdate  = 1 * sec   // a suspicion counts from no earlier than this before it
+	ownTry    = 4 * sec   // whoever has held one suspected for so long asks by himself
+	aloneTime = 1 * sec   // hearing nobody for so long is a reason to doubt oneself
+	pauseTime = 300 * ms  // the same, without a Tick
+	doubtTime = 1 * sec   // no accusation for so long after a pause
 
 	tries      = 4 // pings of a probe at most, one more each time that an answer is overdue; a power of two
 	sweepMost  = 4 // pings of a sweep at each Step
@@ -175,11 +177,17 @@
 	since   int64 // in this state
 	heard   int64 // anything from it
 	hears   bool  // see listen
+	deaf    bool  // it held this member dead when it was heard last
+	apart   bool  // and that is not long ago
+	back    int64 // when it was last taken back, 0: never
 	differs int64 // since its view has differed from this one's, 0 while it does not
 
-	accusers  []ID
-	suspectAt int64
-	mine      bool // the last probe of this member's own failed, at this incarnation
+	accusers  []accuser // before it is suspected
+	suspectAt int64     // from when on its suspicion counts
+	mine      bool      // the last probe of this member's own failed, at this incarnation
+	againAt   int64     // when others are told so once more; 0: not
+	judged    bool      // dead by what this member found out itself
+	asked     uint32    // the last ping since it was held dead
 	triedAt   int64
 
 	probe *probe
@@ -189,6 +197,12 @@
 	gotAll, toldAll           uint32
 }
 
+// accuser is one that could not reach a peer, since when.
+type accuser struct {
+	id    ID
+	since int64
+}
+
 // probe is the question to one peer under way.
 type probe struct {
 	seq   uint32 // of the first ping; those after it have the next ones
@@ -234,12 +248,14 @@
 	reviveAt, syncAt    int64
 	doubtUntil, joinAt  int64
 	joined, leaving     bool
+	lonely              bool    // at the last Tick
 	failing             float64 // part of the latest probes that failed
 	slow                float64 // what most answers take at most, microseconds
 	sweeps              int     // pings of a sweep still to be sent
 	hears               int     // members heard within hearTime, this one among them; confirms at most
 	superseded          bool
-	superseder          uint64
+	rivals              uint64 // the instance of a later process that was contradicted
+	told                uint64 // under this incarnation
 	out                 []Send
 	changes             []Change
 	Pauses, Accusations int // counted for the log
@@ -296,6 +312,11 @@
 	}
 	f.ticked = now
 	f.listen(now)
+	if was := f.lonely; was || f.alone(now) {
+		if f.lonely = f.alone(now); was && !f.lonely {
+			f.anew(now)
+		}
+	}
 	if !f.leaving {
 		f.join(now)
 		f.turn(now)
@@ -308,11 +329,13 @@
 	return f.take()
 }
 
-// listen counts who can say what it fails to reach: those that are heard, and not failed to be reached themselves.
+// listen counts who can say what it fails to reach: those that are heard, and do not hold this member dead. Whether it reaches
+// them does not count: the fault may be its own.
 func (f *Fleet) listen(now int64) {
 	f.hears = 0
 	for _, p := range f.order {
-		p.hears = p.state == Alive && !p.mine && now-p.heard < hearTime
+		lately := now-p.heard < hearTime
+		p.hears, p.apart = p.state == Alive && !p.deaf && lately, p.deaf && lately
 		if p.hears {
 			f.hears++
 		}
@@ -325,8 +348,14 @@
 	f.Pauses++
 	f.doubtUntil = now + doubtTime
 	f.heard = now
+	f.anew(now)
+}
+
+// anew gives all that are suspected their whole time again, and takes back what this member has failed to reach: it may have
+// been its own fault.
+func (f *Fleet) anew(now int64) {
 	for _, p := range f.order {
-		p.probe, p.mine = nil, false
+		p.probe, p.mine, p.deaf = nil, false, false
 		if p.state == Suspect {
 			p.suspectAt = now
 		}
@@ -445,7 +474,8 @@
 	if p != nil {
 		id = p.ID
 	}
-	if room := MaxRumors - len(m.Rumors); m.Kind != Entries && room > 0 {
+	// Who may be gone is told nothing more: what is sent there would count as spread.
+	if room := MaxRumors - len(m.Rumors); m.Kind != Entries && room > 0 && (p == nil || p.state == Alive && !p.mine) {
 		m.Rumors = append(m.Rumors, f.pick(room)...)
 	}
 	f.out = append(f.out, Send{to, id, m})
--- a/decide/member/member_test.go
+++ b/decide/member/member_test.go
@@ -35,7 +35,7 @@
 }
 
 // gossip has member i tell something.
-func (f *Fleet) told(now int64, i int, rumors ...Rumor) ([]Send, []Change) {
+func (f *Fleet) isTold(now int64, i int, rumors ...Rumor) ([]Send, []Change) {
 	return f.Receive(now, addr(i), Message{Kind: Gossip, From: who(i).ID, Inc: 1, Instance: who(i).Instance, You: Alive, YouInc: f.inc, Rumors: rumors})
 }
 
@@ -67,12 +67,12 @@
 	if s := f.Holds(who(3).ID); s != Alive {
 		t.Fatalf("%v by one's own word", s)
 	}
-	f.told(now, 4, rumor(3, Suspect, 1, 4))
+	f.isTold(now, 4, rumor(3, Suspect, 1, 4))
 	f.answer(&now, sec, 3)
 	if s := f.Holds(who(3).ID); s != Alive {
 		t.Fatalf("%v by two members' word of six", s)
 	}
-	f.told(now, 5, rumor(3, Suspect, 1, 5))
+	f.isTold(now, 5, rumor(3, Suspect, 1, 5))
 	f.answer(&now, sec, 3)
 	if s := f.Holds(who(3).ID); s != Suspect {
 		t.Fatalf("%v after three could not reach it", s)
@@ -86,7 +86,7 @@
 // Who reaches the suspect itself does not hold it dead, however many accuse it.
 func TestOnlyWhoFailedHoldsDead(t *testing.T) {
 	f, now := fleetOf(6)
-	f.told(now, 4, rumor(3, Suspect, 1, 0), rumor(3, Suspect, 1, 5))
+	f.isTold(now, 4, rumor(3, Suspect, 1, 0), rumor(3, Suspect, 1, 5))
 	if f.answer(&now, 3*Least); f.Holds(who(3).ID) == Dead {
 		t.Fatal("dead, though it answers")
 	}
@@ -96,8 +96,8 @@
 func TestPausedMemberDoubtsItself(t *testing.T) {
 	f, now := fleetOf(6)
 	f.answer(&now, 3*sec, 3)
-	f.told(now, 4, rumor(3, Suspect, 1, 4))
-	f.told(now, 5, rumor(3, Suspect, 1, 5))
+	f.isTold(now, 4, rumor(3, Suspect, 1, 4))
+	f.isTold(now, 5, rumor(3, Suspect, 1, 5))
 	f.answer(&now, sec, 3)
 	accused := f.Accusations
 	now += 10 * sec
@@ -113,8 +113,8 @@
 // What is said of oneself is answered under a newer incarnation, also what is said of one's death.
 func TestRefutes(t *testing.T) {
 	f, now := fleetOf(4)
-	f.told(now, 2, rumor(1, Suspect, 1, 2))
-	f.told(now, 3, rumor(1, Dead, 7, 3))
+	f.isTold(now, 2, rumor(1, Suspect, 1, 2))
+	f.isTold(now, 3, rumor(1, Dead, 7, 3))
 	if f.Inc() != 8 {
 		t.Fatalf("incarnation %d", f.Inc())
 	}
@@ -124,17 +124,24 @@
 	}
 }
 
-// A later process of the name is the member; an earlier one is answered, and two members' worth of talk ends.
+// A later process of the name is the member, once it has answered; an earlier one is answered, and what is left of a later one
+// that has gone, as after a clock was set back, is contradicted only.
 func TestTwoProcessesOfOneName(t *testing.T) {
 	f, now := fleetOf(3)
 	older := rumor(1, Alive, 5, 0)
 	older.Instance = 1
-	if f.told(now, 2, older); f.Superseded() || f.Inc() != 6 {
+	if f.isTold(now, 2, older); f.Superseded() || f.Inc() != 6 {
 		t.Fatalf("superseded %v, incarnation %d", f.Superseded(), f.Inc())
 	}
-	later := rumor(1, Alive, 1, 0)
+	later := rumor(1, Alive, 9, 0)
 	later.Instance = 1000
-	f.told(now, 2, later)
+	for range 3 {
+		if f.isTold(now, 2, later); f.Superseded() || f.Inc() != 10 {
+			t.Fatalf("superseded %v, incarnation %d", f.Superseded(), f.Inc())
+		}
+	}
+	later.Inc = 11
+	f.isTold(now, 3, later)
 	if out, _ := f.Tick(now + Step); !f.Superseded() || len(out) > 0 {
 		t.Fatalf("superseded %v, and says %v", f.Superseded(), out)
 	}
--- a/decide/member/receive.go
+++ b/decide/member/receive.go
@@ -19,7 +19,7 @@
 	f.heard = now
 	p := f.peers[m.From]
 	if p != nil {
-		p.heard = now
+		p.heard, p.deaf = now, m.You >= Dead
 		f.header(now, p, from, m)
 	}
 	if m.You > Alive && m.YouInc >= f.inc && !f.leaving {
@@ -27,10 +27,11 @@
 	} else if m.You == Alive && m.YouInc > f.inc && !f.leaving {
 		f.rise(m.YouInc)
 	}
-	// What those say whom this member holds dead is old, but for what they say of themselves: it would set a side of a
-	// healed cut against its own.
+	// What those say whom this member holds dead, or has just taken back, is old, but for what they say of themselves: it would
+	// set a side of a healed cut against its own.
+	trusted := p == nil || p.state < Dead && (p.back == 0 || now-p.back >= differTime)
 	for _, r := range m.Rumors {
-		if p == nil || p.state < Dead || r.ID == m.From || r.ID == f.self.ID || r.State == Alive {
+		if trusted || r.ID == m.From || r.ID == f.self.ID || r.State == Alive {
 			f.hear(now, r)
 		}
 	}
@@ -41,11 +42,16 @@
 	return f.take()
 }
 
-// header takes what a message says of its sender by being sent: under a newer incarnation it lives.
+// header takes what a message says of its sender by being sent: under a newer incarnation it lives. Whom this member has held
+// dead by its own judgement has to answer it.
 func (f *Fleet) header(now int64, p *peer, from netip.AddrPort, m Message) {
-	if m.Inc > p.inc && (m.Instance == p.Instance || p.Instance == 0) {
-		f.hear(now, Rumor{ID: p.ID, State: Alive, Inc: m.Inc, Instance: m.Instance, Name: p.Name, Addr: from})
+	if m.Inc <= p.inc {
+		return
+	}
+	if m.Kind == Ack && m.About == 0 && p.asked > 0 && m.Seq >= p.asked {
+		p.judged = false
 	}
+	f.hear(now, Rumor{ID: p.ID, State: Alive, Inc: m.Inc, Instance: m.Instance, Name: p.Name, Addr: from})
 }
 
 // act does what the message asks.
@@ -63,6 +69,10 @@
 			a.Got = p.gotAll
 		}
 		reply(a)
+		if p == nil && now >= f.syncAt { // somebody who knows this member, and whom it has never heard of
+			f.syncAt = now + syncTime/2
+			reply(Message{Kind: Compare, Sums: f.sum()})
+		}
 	case Ack:
 		f.ack(now, p, m)
 	case Ask:
--- a/decide/member/rumor.go
+++ b/decide/member/rumor.go
@@ -1,7 +1,9 @@
 package member
 
 import (
+	"cmp"
 	"math/bits"
+	"net/netip"
 	"slices"
 )
 
@@ -30,11 +32,30 @@
 		f.accused(now, now, p, r)
 		return
 	}
+	if p.judged && r.State == Alive {
+		f.ask(now, p, r.Addr) // news goes round where answers do not: whom this member could not reach it must reach first
+		return
+	}
 	if r.Inc > p.inc || r.State != p.state {
 		f.become(now, p, r)
 	}
 }
 
+// ask pings one that this member holds dead, and that says otherwise.
+func (f *Fleet) ask(now int64, p *peer, at netip.AddrPort) {
+	if now-p.triedAt < ackWait {
+		return
+	}
+	if !at.IsValid() {
+		at = p.Addr
+	}
+	f.seq += tries
+	if p.triedAt = now; p.asked == 0 {
+		p.asked = f.seq
+	}
+	f.send(at, p, Message{Kind: Ping, Seq: f.seq})
+}
+
 // hearOwn takes what is said of this member itself.
 func (f *Fleet) hearOwn(r Rumor) {
 	switch {
@@ -42,19 +63,26 @@
 	case r.State != Alive && r.Inc >= f.inc:
 		f.rise(r.Inc)
 	case r.State == Alive && r.Instance != f.self.Instance && r.Instance != 0:
-		f.rival(r.Instance, r.Inc)
+		if r.Inc >= f.inc || r.Instance > f.self.Instance {
+			f.rival(r.Instance, r.Inc)
+		}
 	case r.State == Alive && r.Inc > f.inc:
 		f.rise(r.Inc) // from before this process, whose clock was ahead
 	}
 }
 
-// rival is another process that has this member's name. The later one is the member: a new version beside the old one is,
-// and of two that claim a name by mistake at least one stays.
+// rival is word of another process that has this member's name. The later one is the member, so that a new version beside
+// the old one is, and of two that claim a name by mistake at least one stays. Of a later one that has gone since, as where this
+// machine's clock was set back, there may be word, too: it is contradicted once, and only one that answers is there.
 func (f *Fleet) rival(instance, inc uint64) {
-	if instance > f.self.Instance {
-		f.superseded, f.superseder = true, instance
-	} else if inc >= f.inc {
-		f.rise(inc)
+	switch {
+	case instance <= f.self.Instance || instance != f.rivals:
+		f.rise(max(inc, f.inc))
+		if instance > f.self.Instance {
+			f.rivals, f.told = instance, f.inc
+		}
+	case inc > f.told:
+		f.superseded = true
 	}
 }
 
@@ -82,7 +110,7 @@
 	if p.inc = r.Inc; newer && r.Addr.IsValid() {
 		p.Addr, p.Instance = r.Addr, r.Instance
 	}
-	p.accusers, p.mine, p.state = nil, false, r.State
+	p.accusers, p.mine, p.judged, p.asked, p.state = nil, false, false, 0, r.State
 	if was != r.State {
 		p.since = now
 		f.changes = append(f.changes, Change{p.ID, p.Name, was, r.State, r.Inc})
@@ -92,36 +120,59 @@
 		p.probe = nil
 	} else if was >= Dead {
 		f.ringIn(p)
-		p.heard, p.differs = now, 0
+		p.heard, p.back, p.differs = now, now, 0
 	}
 	f.spread = slices.DeleteFunc(f.spread, func(n news) bool { return n.ID == p.ID })
 	f.tell(r)
 }
 
-// accused takes word of one that could not reach a member, or, from nobody in particular, of as many as it takes. One alone
-// makes nobody suspect: it may be its own link that is cut. Some of those who hear of it find out for themselves; once there
-// are enough, it is suspected, from the first of them on if that is not long ago, and all are told.
+// accused takes word of one that could not reach a member since then, or, from nobody in particular, of as many as it takes.
+// One alone makes nobody suspect: it may be its own link that is cut. Some of those who hear of it find out for themselves;
+// once there are enough, this member among them, it is suspected, and all are told.
 func (f *Fleet) accused(since, now int64, p *peer, r Rumor) {
 	if r.By == p.ID || p.state != Alive {
 		return
 	}
-	if r.By != 0 && !slices.Contains(p.accusers, r.By) {
-		if len(p.accusers) == 0 {
-			p.suspectAt = since
-		}
-		p.accusers = append(p.accusers, r.By)
+	if r.By != 0 && !slices.ContainsFunc(p.accusers, func(a accuser) bool { return a.id == r.By }) {
+		p.accusers = append(p.accusers, accuser{r.By, since})
 	}
-	if r.By == 0 || len(p.accusers) >= f.needed(p) {
-		p.state, p.since, p.suspectAt = Suspect, now, max(p.suspectAt, now-probeTime)
-		f.changes = append(f.changes, Change{p.ID, p.Name, Alive, Suspect, p.inc})
-		r.By = 0
-		f.tell(r)
+	if r.By == 0 {
+		f.suspect(now, now-hearsay, p)
 	}
+	f.enough(now, p)
 	if !p.mine && !f.leaving {
 		f.second(now, p)
 	}
 }
 
+// enough has a peer suspected that as many have failed to reach as it takes, this member among them.
+func (f *Fleet) enough(now int64, p *peer) {
+	if p.state == Alive && p.mine && len(p.accusers) >= f.needed(p) {
+		f.suspect(now, f.begun(now, p), p)
+	}
+}
+
+func (f *Fleet) suspect(now, since int64, p *peer) {
+	p.state, p.since, p.suspectAt, p.accusers = Suspect, now, since, nil
+	f.changes = append(f.changes, Change{p.ID, p.Name, Alive, Suspect, p.inc})
+	r := f.accusation(p)
+	r.By = 0
+	f.tell(r)
+}
+
+// begun is from when on a suspicion counts: from the second accusation on, but from little before this member's own, since
+// the others may be by chance, from before the peer fell silent, and its own is taken back when it reaches the peer.
+func (f *Fleet) begun(now int64, p *peer) int64 {
+	slices.SortFunc(p.accusers, func(a, b accuser) int { return cmp.Compare(a.since, b.since) })
+	at := p.accusers[min(1, len(p.accusers)-1)].since
+	for _, a := range p.accusers {
+		if a.id == f.self.ID {
+			at = max(at, a.since-hearsay-f.usual(p))
+		}
+	}
+	return max(at, now-backdate)
+}
+
 // tell begins to spread news.
 func (f *Fleet) tell(r Rumor) {
 	f.spread = slices.DeleteFunc(f.spread, func(n news) bool {
--- a/decide/member/view.go
+++ b/decide/member/view.go
@@ -8,13 +8,12 @@
 // Member is one of the fleet, as this member sees it.
 type Member struct {
 	Self
-	State    State
-	Inc      uint64
-	Since    int64   // in this state
-	Heard    int64   // the last word of its own
-	RTT      int64   // microseconds, 0 where none is known
-	Out, In  float64 // parts of the pings that are lost on the way there, and of the answers on the way back
-	Accusers int
+	State   State
+	Inc     uint64
+	Since   int64   // in this state
+	Heard   int64   // the last word of its own
+	RTT     int64   // microseconds, 0 where none is known
+	Out, In float64 // parts of the pings that are lost on the way there, and of the answers on the way back
 }
 
 // View is the whole fleet, this member first, the others by their names.
@@ -25,7 +24,7 @@
 	}
 	out := []Member{{Self: f.self, State: state, Inc: f.inc, Heard: now}}
 	for _, p := range f.order {
-		m := Member{Self: p.Self, State: p.state, Inc: p.inc, Since: p.since, Heard: p.heard, RTT: int64(p.rtt), Accusers: len(p.accusers)}
+		m := Member{Self: p.Self, State: p.state, Inc: p.inc, Since: p.since, Heard: p.heard, RTT: int64(p.rtt)}
 		if p.sent >= 1 {
 			m.Out = min(max(1-p.told/p.sent, 0), 1)
 		}
--- a/decide/member/watch.go
+++ b/decide/member/watch.go
@@ -31,8 +31,7 @@
 	}
 	f.turnAt = now + Turn*9/10 + f.jitter(Turn/5)
 	if len(f.watch) == 0 {
-		f.watch = f.subjects()
-		f.rng.Shuffle(len(f.watch), func(i, j int) { f.watch[i], f.watch[j] = f.watch[j], f.watch[i] })
+		f.watch = f.subjects() // always in the same order, so that each is asked once a round, and not early in one and late in the next
 	}
 	for range (len(f.watch) + Watchers - 1) / Watchers {
 		p := f.watch[0]
@@ -86,10 +85,16 @@
 	case p.state != Suspect || p.probe != nil:
 	case p.mine && now-p.triedAt >= probeTime:
 		f.ping(now, p)
-	case !p.mine && now-max(p.suspectAt, p.triedAt) >= ownTry:
+	case !p.mine && now-max(p.since, p.triedAt) >= ownTry:
 		p.triedAt = now
 		f.second(now, p)
 	}
+	f.enough(now, p) // fewer may be enough than a moment ago
+	if p.againAt > 0 && now >= p.againAt {
+		if p.againAt = 0; p.mine && p.state == Alive {
+			f.askOthers(p, f.accusation(p))
+		}
+	}
 	q := p.probe
 	if q == nil {
 		return
@@ -138,22 +143,27 @@
 	}
 }
 
+func (f *Fleet) accusation(p *peer) Rumor {
+	return Rumor{ID: p.ID, State: Suspect, Inc: p.inc, By: f.self.ID, Instance: p.Instance, Name: p.Name, Addr: p.Addr}
+}
+
 // accuse says that this member could not reach the peer. It says nothing while it doubts itself.
 func (f *Fleet) accuse(now int64, p *peer, q *probe) {
 	if f.Doubts(now) || p.state != Alive && p.state != Suspect {
 		return
 	}
 	f.Accusations++
+	r := f.accusation(p)
 	if f.failing += (1 - f.failing) / failWeight; f.failing > sweepFrom {
 		f.sweeps = min(f.sweeps+sweepEach, sweepAll)
 	}
 	p.mine = true
-	r := Rumor{ID: p.ID, State: Suspect, Inc: p.inc, By: f.self.ID, Instance: p.Instance, Name: p.Name, Addr: p.Addr}
 	f.accused(q.began+max(probeTime, 2*f.usual(p)), now, p, r)
 	if p.state != Alive {
 		return
 	}
-	// Not enough have failed to reach it: those who asked are told, or where nobody did, a few are asked to try.
+	// Not enough have failed to reach it: those who asked are told, or where nobody did, a few are asked to try, and once more
+	// a little later, since either may be lost.
 	asked := false
 	for _, a := range f.relays {
 		if o := f.peers[a.asker]; a.mine == q.seq && o != nil {
@@ -161,9 +171,14 @@
 			f.send(o.Addr, o, Message{Kind: Gossip, Rumors: []Rumor{r}})
 		}
 	}
-	if asked {
-		return
+	if !asked {
+		f.askOthers(p, r)
+		p.againAt = now + ackWait + f.usual(p)
 	}
+}
+
+// askOthers tells some what this member says of a peer, so that they find out for themselves.
+func (f *Fleet) askOthers(p *peer, r Rumor) {
 	for _, o := range f.some(Watchers, func(o *peer) bool { return o != p && o.state == Alive && !o.mine }) {
 		f.send(o.Addr, o, Message{Kind: Gossip, Rumors: []Rumor{r}})
 	}
@@ -172,6 +187,9 @@
 // needed is how many must have failed to reach one that is suspected: as many as there are that could say so, this member
 // among them, up to confirms.
 func (f *Fleet) needed(p *peer) int {
+	if p.apart { // whoever of the two is right, they are apart
+		return 1
+	}
 	able := f.hears + 1
 	if p.hears {
 		able--
@@ -188,8 +206,10 @@
 		if p.state != Suspect || !p.mine {
 			continue
 		}
-		if now-p.suspectAt >= Least {
+		// One that speaks, and holds this member dead, is not paused: there is nothing to wait for.
+		if p.apart || now-p.suspectAt >= Least {
 			f.hear(now, Rumor{ID: p.ID, State: Dead, Inc: p.inc, By: f.self.ID, Instance: p.Instance, Name: p.Name, Addr: p.Addr})
+			p.judged = true
 		}
 	}
 }
@@ -245,8 +265,7 @@
 	}
 	f.reviveAt = now + reviveTime*3/4 + f.jitter(reviveTime/2)
 	for _, p := range f.some(1, func(p *peer) bool { return p.state == Dead }) {
-		f.seq += tries
-		f.send(p.Addr, p, Message{Kind: Ping, Seq: f.seq})
+		f.ask(now, p, p.Addr)
 	}
 }
 
@@ -259,8 +278,9 @@
 		}
 	}
 	for _, p := range f.order {
-		if p.state == Alive && len(p.accusers) > 0 && now-p.suspectAt > pendingTime {
-			p.accusers, p.mine = nil, false
+		if p.state == Alive && len(p.accusers) > 0 {
+			p.accusers = slices.DeleteFunc(p.accusers, func(a accuser) bool { return now-a.since > pendingTime })
+			p.mine = p.mine && len(p.accusers) > 0
 		}
 	}
 	f.order = slices.DeleteFunc(f.order, func(p *peer) bool {
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,167 @@
+package peer
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"spurspread/decide/member"
+	"spurspread/internal/loop"
+	"spurspread/internal/peer/packet"
+)
+
+// patience bounds every wait; nothing is proved by its passing.
+const patience = 30 * time.Second
+
+// stage is some hosts on one loop.
+type stage struct {
+	t *testing.T
+	l *loop.Loop
+}
+
+func newStage(t *testing.T) *stage {
+	t.Helper()
+	l, err := loop.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error)
+	go func() { done <- l.Run() }()
+	t.Cleanup(func() {
+		l.Post(l.Stop)
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		_ = l.Close()
+	})
+	return &stage{t, l}
+}
+
+// do has the loop do something, and waits for it.
+func (s *stage) do(f func()) {
+	done := make(chan struct{})
+	s.l.Post(func() { f(); close(done) })
+	<-done
+}
+
+func ring(t *testing.T, secret byte) *packet.Ring {
+	t.Helper()
+	r, err := packet.NewRing([]packet.Key{{Secret: [32]byte(bytes.Repeat([]byte{secret}, 32)), Seals: true}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func (s *stage) host(name string, secret byte, seeds ...netip.AddrPort) (h *Host) {
+	s.t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var err error
+	r := ring(s.t, secret)
+	s.do(func() {
+		h, err = Start(s.l, Config{Name: name, Listen: netip.MustParseAddrPort("127.0.0.1:0"), Seeds: seeds, Ring: r, Seed: uint64(len(name))}, log)
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { s.do(h.Close) })
+	return h
+}
+
+func (s *stage) await(what string, holds func() bool) {
+	s.t.Helper()
+	for late := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
+		held := false
+		if s.do(func() { held = holds() }); held {
+			return
+		}
+		if time.Now().After(late) {
+			s.t.Fatalf("not within %v: %s", patience, what)
+		}
+	}
+}
+
+func sees(h *Host, name string, state member.State) bool {
+	for _, m := range h.View() {
+		if m.Name == name && m.State == state {
+			return true
+		}
+	}
+	return false
+}
+
+// Members with one key find each other by one that is there, though another seed is not; one with another key is heard by
+// nobody, and counted.
+func TestJoin(t *testing.T) {
+	s := newStage(t)
+	nobody := netip.MustParseAddrPort("127.0.0.1:9")
+	a := s.host("a", 1)
+	b := s.host("b", 1, nobody, a.Addr())
+	c := s.host("c", 1, a.Addr())
+	s.host("stranger", 2, a.Addr())
+	s.await("all three know each other", func() bool {
+		return sees(a, "b", member.Alive) && sees(a, "c", member.Alive) && sees(b, "c", member.Alive) && sees(c, "b", member.Alive)
+	})
+	s.await("a stranger is counted", func() bool { return a.Counts().Forged > 0 })
+	s.do(func() {
+		if len(a.View()) != 3 {
+			t.Errorf("%d members", len(a.View()))
+		}
+		b.Leave()
+	})
+	s.await("one that leaves says so", func() bool { return sees(a, "b", member.Left) && sees(c, "b", member.Left) })
+}
+
+// A flood from strangers is dropped unread beyond what is opened in a second, and members are heard meanwhile.
+func TestFlood(t *testing.T) {
+	s := newStage(t)
+	a := s.host("a", 1)
+	b := s.host("b", 1, a.Addr())
+	s.await("both know each other", func() bool { return sees(a, "b", member.Alive) && sees(b, "a", member.Alive) })
+	c, err := net.Dial("udp4", a.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	var taken int64
+	s.do(func() { taken = a.Counts().Taken })
+	rubbish := bytes.Repeat([]byte{7}, 400)
+	s.await("rubbish is dropped unread", func() bool {
+		for range 200 {
+			_, _ = c.Write(rubbish)
+		}
+		return a.Counts().Lost > 1000
+	})
+	s.do(func() {
+		if n := a.Counts(); n.Forged > n.Lost {
+			t.Errorf("of a flood %d were opened, and %d not", n.Forged, n.Lost)
+		}
+	})
+	s.await("members are heard meanwhile", func() bool { return a.Counts().Taken > taken+4 })
+}
+
+// Beyond its budget a member sends nothing but pings and answers.
+func TestBudget(t *testing.T) {
+	s := newStage(t)
+	a := s.host("a", 1)
+	s.do(func() {
+		to := netip.MustParseAddrPort("127.0.0.1:9")
+		for range 2000 {
+			a.send(to, 5, &member.Message{Kind: member.Gossip})
+		}
+		n := a.Counts()
+		if n.Saved == 0 || n.SentBytes > Reserve+Budget {
+			t.Errorf("sent %d bytes at once, and held back %d datagrams", n.SentBytes, n.Saved)
+		}
+		a.send(to, 5, &member.Message{Kind: member.Ping})
+		if a.Counts().Sent != n.Sent+1 {
+			t.Error("a ping is held back")
+		}
+	})
+}
--- a/lab/procs/procs.go
+++ b/lab/procs/procs.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -66,19 +67,14 @@
 // New prepares n processes that are not started. The first seeds of them are everybody's seeds.
 func New(program, dir string, n, seeds int, seed uint64) (*Fleet, error) {
 	f := &Fleet{Program: program, Dir: dir}
-	for i := range n {
-		at, err := freeUDP()
-		if err != nil {
-			return nil, err
-		}
-		f.at = append(f.at, at)
-		p := &Proc{f: f, i: i, Name: fmt.Sprint("n", i), Folder: filepath.Join(dir, fmt.Sprint("n", i))}
-		if p.Mgmt, err = freeTCP(); err != nil {
-			return nil, err
-		}
-		if p.Listen, err = freeTCP(); err != nil {
-			return nil, err
-		}
+	ips, err := loopbacks(n)
+	if err != nil {
+		return nil, err
+	}
+	for i, ip := range ips {
+		at := func(port uint16) string { return netip.AddrPortFrom(ip, port).String() }
+		f.at = append(f.at, netip.AddrPortFrom(ip, fleetPort))
+		p := &Proc{f: f, i: i, Name: fmt.Sprint("n", i), Folder: filepath.Join(dir, fmt.Sprint("n", i)), Listen: at(listenPort), Mgmt: at(mgmtPort)}
 		if err := os.MkdirAll(p.Folder, 0o700); err != nil {
 			return nil, err
 		}
@@ -87,7 +83,6 @@
 	if err := os.WriteFile(filepath.Join(dir, "key"), append(secret, '\n'), 0o600); err != nil {
 		return nil, err
 	}
-	var err error
 	if f.Net, err = cut.New(f.at, seed); err != nil {
 		return nil, err
 	}
@@ -99,22 +94,47 @@
 	return f, nil
 }
 
-// freeUDP is an address that nobody takes datagrams at.
-func freeUDP() (netip.AddrPort, error) {
-	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		return netip.AddrPort{}, err
+// Ports of each process, on an address of its own: below those that the kernel deals out.
+const (
+	listenPort = 7001 + iota
+	mgmtPort
+	fleetPort
+)
+
+// loopbacks finds n loopback addresses on which nobody uses the ports. Addresses in 127.0.0.0/8 need no setting up, and
+// outgoing connections come from 127.0.0.1, so that nothing takes a port between its check and its use.
+func loopbacks(n int) ([]netip.Addr, error) {
+	var err error
+	for range 20 {
+		x, y := byte(64+rand.IntN(128)), byte(rand.IntN(256))
+		var all []netip.Addr
+		for i := range n {
+			ip := netip.AddrFrom4([4]byte{127, x, y, byte(i + 1)})
+			if err = free(ip); err != nil {
+				break
+			}
+			all = append(all, ip)
+		}
+		if len(all) == n {
+			return all, nil
+		}
 	}
-	return c.LocalAddr().(*net.UDPAddr).AddrPort(), c.Close()
+	return nil, fmt.Errorf("no %d free loopback addresses: %w", n, err)
 }
 
-// freeTCP is an address that nobody listens at.
-func freeTCP() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+func free(ip netip.Addr) error {
+	for _, port := range []uint16{listenPort, mgmtPort} {
+		ln, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(netip.AddrPortFrom(ip, port)))
+		if err != nil {
+			return err
+		}
+		_ = ln.Close()
+	}
+	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(ip, fleetPort)))
 	if err != nil {
-		return "", err
+		return err
 	}
-	return ln.Addr().String(), ln.Close()
+	return c.Close()
 }
 
 func (p *Proc) writeSite(seeds int) error {
--- a/lab/procs/procs_test.go
+++ b/lab/procs/procs_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -195,12 +196,8 @@
 	f := fleet(t, 3)
 	_, before := f.state(t, 0, 2)
 	old := f.Procs[2]
-	next := &Proc{f: f, i: 2, Name: old.Name, Folder: t.TempDir()}
-	var err error
-	if next.Mgmt, err = freeTCP(); err != nil {
-		t.Fatal(err)
-	}
-	next.Listen = old.Listen
+	next := &Proc{f: f, i: 2, Name: old.Name, Folder: t.TempDir(), Listen: old.Listen}
+	next.Mgmt = netip.AddrPortFrom(f.at[2].Addr(), fleetPort+1).String()
 	if err := next.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/lab/trial/checker.go
+++ b/lab/trial/checker.go
@@ -38,6 +38,10 @@
 	excused bool
 }
 
+// breath is how long a member must have run between two pauses for them not to count as one: it says that it lives when it is
+// asked, and whoever it has not answered asks again after half a second.
+const breath = 500 * time.Millisecond
+
 func newChecker(s Stage, say func(string, ...any)) *Checker {
 	c := &Checker{s: s, say: say, members: make([]fate, s.Members()), Bearable: 2 * time.Second, flaps: map[[2]int]int{},
 		deadInc: map[[2]int]uint64{}}
@@ -74,7 +78,7 @@
 
 func (c *Checker) pausedFor(i int, d time.Duration) {
 	m, now := &c.members[i], c.s.Now()
-	if now > m.paused {
+	if now > m.paused+breath {
 		m.stood = now
 	}
 	m.paused = max(m.paused, now+d)
--- a/lab/trial/scenario.go
+++ b/lab/trial/scenario.go
@@ -13,7 +13,7 @@
 
 // Scenarios are the scripts by name.
 var Scenarios = map[string]script{
-	"pause": pauses, "loss": losses, "one-sided": oneSided, "split": splits, "storm": storm, "quiet": quiet, "weak": weak,
+	"pause": pauses, "loss": losses, "one-sided": oneSided, "split": splits, "storm": storm, "quiet": quiet, "weak": weak, "tired": tired, "return": returns,
 }
 
 // Names are the scenarios' names.
@@ -77,6 +77,49 @@
 	return at
 }
 
+// tired pauses one member after the other for up to 2 s while a tenth of all messages are lost: an accusation by chance must not
+// shorten the suspicion that a pause begins.
+func tired(t *Trial) time.Duration {
+	t.Fault(time.Second, "10% of all messages are lost", func() {
+		t.Set(t.All(), t.All(), func(l *link.Link) { l.Loss, l.Jitter = 0.1, 20*time.Millisecond })
+	})
+	at := 4 * time.Second
+	for range 10 {
+		one, span := t.Draw(1), t.between(time.Second, 2*time.Second)
+		t.Fault(at, fmt.Sprintf("%d is paused for %d ms", one[0], span/time.Millisecond), func() { t.Pause(one[0], span) })
+		at += t.between(span, 3*time.Second)
+	}
+	t.Fault(at, "links are good again", func() { t.Heal() })
+	return at
+}
+
+// returns has members end and start again under their names within less than a period: killed, or stopped in the planned way;
+// where the stage has clocks, some of them a day behind.
+func returns(t *Trial) time.Duration {
+	at := time.Second
+	for round := range 6 {
+		one, gap := t.Draw(1)[0], t.between(20*time.Millisecond, 400*time.Millisecond)
+		t.Fault(at, fmt.Sprintf("%d ends", one), func() {
+			if round%2 == 0 {
+				t.Kill(one)
+				return
+			}
+			t.Stop(one)
+		})
+		if round%2 == 1 {
+			gap += StopTime
+		}
+		t.Fault(at+gap, fmt.Sprintf("%d starts", one), func() {
+			if c, ok := t.Stage.(Clocked); ok && round%3 == 1 {
+				c.StepClock(one, -24*time.Hour)
+			}
+			t.Start(one)
+		})
+		at += gap + t.between(6*time.Second, 8*time.Second)
+	}
+	return at
+}
+
 // losses has messages lost, late, twice and out of order, and members killed meanwhile.
 func losses(t *Trial) time.Duration {
 	loss, burst := 0.1+0.1*t.Rand().Float64(), []float64{1, 3}[t.Rand().IntN(2)]
--- a/lab/trial/trial.go
+++ b/lab/trial/trial.go
@@ -181,6 +181,9 @@
 	return all[min(int(part*float64(len(all))), len(all)-1)]
 }
 
+// StopTime is how long a planned stop may take.
+const StopTime = 4 * time.Second
+
 // JoinTime is given to members to find each other before a script begins.
 const JoinTime = 12 * time.Second
 
