Bound the bytes of news in the decider, in queues by how often each was sent; short rumors

Now the decider has the budget: pings and answers always, news as far as 2,048 bytes a second and 24 KiB saved up go; what comes back from others counts as sent; suspicions and deaths take 16 bytes instead of 48.

--- a/decide/member/member.go
+++ b/decide/member/member.go
@@ -56,12 +56,18 @@
 	failWeight = 4
 	sweepAll   = 48
 
+	// Budget is how many bytes a second of news a member sends on average, Reserve how many it may have saved up: enough to
+	// tell of the death of most of a large fleet at once. Pings and their answers, some 900 a second, are sent whatever is left.
+	Budget  = 2048
+	Reserve = 24 << 10
+
 	gossipTime = 100 * ms
-	gossipTo   = 3 // members that news goes to at each gossipTime, besides going along with all else
-	freshSends = 4 // a news item makes packets of its own until it was sent so often
+	gossipTo   = 3  // members that news goes to at each gossipTime, besides going along with all else
+	freshSends = 4  // a news item makes packets of its own until it was sent so often
+	maxSends   = 16 // more than sends() is in the largest fleet
 	maxNews    = 1024
-	// MaxRumors is how many go along in one message: with names of usual length a message stays within 1,200 bytes.
-	MaxRumors = 12
+	// MaxRumors is how many go along in one message: a message stays within 1,200 bytes.
+	MaxRumors = 32
 
 	reviveTime = 500 * ms // one of the dead is asked, so that a healed cut is noticed
 	forgetTime = 600 * sec
@@ -219,12 +225,6 @@
 	until        int64
 }
 
-// news is a rumor that is being spread.
-type news struct {
-	Rumor
-	sent int
-}
-
 // Fleet is the fleet as one member sees it.
 type Fleet struct {
 	cfg    Config
@@ -238,7 +238,8 @@
 	watch  []*peer // still to be pinged in this round
 	seq    uint32
 	relays []relayed
-	spread []news
+	news   spreading
+	purse  float64 // bytes of news that may be sent now
 	digest uint64
 	sums   [Buckets]uint64
 	lost   map[uint32]lostPing // pings given up lately, whose answer may still come
@@ -259,6 +260,7 @@
 	out                 []Send
 	changes             []Change
 	Pauses, Accusations int // counted for the log
+	Saved               int // messages not sent, for want of budget
 	share               share
 }
 
@@ -273,7 +275,7 @@
 		cfg.MaxSize = MaxMembers
 	}
 	f := &Fleet{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Self.ID))), self: cfg.Self, inc: max(cfg.Inc, 1),
-		peers: map[ID]*peer{}, ticked: now, heard: now, turnAt: now, reviveAt: now + reviveTime, lost: map[uint32]lostPing{}}
+		peers: map[ID]*peer{}, ticked: now, heard: now, turnAt: now, reviveAt: now + reviveTime, lost: map[uint32]lostPing{}, purse: Reserve}
 	f.hash = hashes(f.self.ID)
 	f.mix(f.self.ID, f.inc, Alive)
 	f.announce()
@@ -310,6 +312,7 @@
 	if now-f.ticked > pauseTime {
 		f.paused(now)
 	}
+	f.purse = min(f.purse+Budget*float64(now-f.ticked)/float64(sec), Reserve)
 	f.ticked = now
 	f.listen(now)
 	if was := f.lonely; was || f.alone(now) {
@@ -466,17 +469,29 @@
 
 // send sends a message to an address, of a peer where one is known there.
 func (f *Fleet) send(to netip.AddrPort, p *peer, m Message) {
-	m.From, m.Inc, m.Instance, m.Digest = f.self.ID, f.inc, f.self.Instance, f.digest
-	if p != nil {
-		m.You, m.YouInc = p.state, p.inc
-	}
 	id := ID(0)
 	if p != nil {
-		id = p.ID
+		id, m.You, m.YouInc = p.ID, p.state, p.inc
 	}
+	f.sendAs(to, id, p, m)
+}
+
+// sendAs sends a message to whomever; beyond the budget nothing but pings and answers, without news.
+func (f *Fleet) sendAs(to netip.AddrPort, id ID, p *peer, m Message) {
+	if m.Kind != Ping && m.Kind != Ack {
+		if f.room() == 0 {
+			f.Saved++
+			return
+		}
+		f.purse -= messageBytes + 4*float64(len(m.Sums))
+	}
+	m.From, m.Inc, m.Instance, m.Digest = f.self.ID, f.inc, f.self.Instance, f.digest
 	// Who may be gone is told nothing more: what is sent there would count as spread.
 	if room := MaxRumors - len(m.Rumors); m.Kind != Entries && room > 0 && (p == nil || p.state == Alive && !p.mine) {
-		m.Rumors = append(m.Rumors, f.pick(room)...)
+		m.Rumors = append(m.Rumors, f.news.pick(min(f.room(), roomInMessage), room, f.sends())...)
+	}
+	for i := range m.Rumors {
+		f.purse -= float64(rumorBytes(&m.Rumors[i]))
 	}
 	f.out = append(f.out, Send{to, id, m})
 }
--- a/decide/member/receive.go
+++ b/decide/member/receive.go
@@ -57,8 +57,10 @@
 // act does what the message asks.
 func (f *Fleet) act(now int64, from netip.AddrPort, p *peer, m Message) {
 	reply := func(a Message) {
-		f.send(from, p, a)
-		f.out[len(f.out)-1].ID = m.From
+		if p != nil {
+			a.You, a.YouInc = p.state, p.inc
+		}
+		f.sendAs(from, m.From, p, a)
 	}
 	switch m.Kind {
 	case Ping:
--- a/decide/member/rumor.go
+++ b/decide/member/rumor.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/bits"
 	"net/netip"
 	"slices"
 )
@@ -21,6 +20,10 @@
 	if r.Inc < p.inc || r.Inc == p.inc && r.State < p.state {
 		return
 	}
+	if r.Inc == p.inc && r.State == p.state && r.By == 0 {
+		f.news.heard(r, f.sends())
+		return
+	}
 	if r.Inc == p.inc && r.State == Suspect {
 		f.accused(now, now, p, r)
 		return
@@ -122,7 +125,6 @@
 		f.ringIn(p)
 		p.heard, p.back, p.differs = now, now, 0
 	}
-	f.spread = slices.DeleteFunc(f.spread, func(n news) bool { return n.ID == p.ID })
 	f.tell(r)
 }
 
@@ -173,47 +175,6 @@
 	return max(at, now-backdate)
 }
 
-// tell begins to spread news.
-func (f *Fleet) tell(r Rumor) {
-	f.spread = slices.DeleteFunc(f.spread, func(n news) bool {
-		return n.ID == r.ID && (n.Inc < r.Inc || n.Inc == r.Inc && (n.State < r.State || n.State == r.State && n.By == r.By))
-	})
-	if len(f.spread) < maxNews {
-		f.spread = append(f.spread, news{Rumor: r})
-	}
-}
-
-// sends is how often news is sent by each that has it: the number of rounds that reach all, and some for those lost.
-func (f *Fleet) sends() int { return 2 * bits.Len(uint(len(f.rings[0])+1)) }
-
-// pick chooses the news that was sent least often, and counts it as sent.
-func (f *Fleet) pick(n int) (out []Rumor) {
-	slices.SortStableFunc(f.spread, func(a, b news) int { return a.sent - b.sent })
-	for i := range min(n, len(f.spread)) {
-		out = append(out, f.spread[i].Rumor)
-		f.spread[i].sent++
-	}
-	most := f.sends()
-	f.spread = slices.DeleteFunc(f.spread, func(n news) bool { return n.sent >= most })
-	return out
-}
-
-// gossip sends fresh news on its own, to those who are not suspected: after a crash of many most of it would be lost, and who
-// is suspected is asked, and so told, all the same.
-func (f *Fleet) gossip(now int64) {
-	if now < f.gossipAt {
-		return
-	}
-	f.gossipAt = now + gossipTime*3/4 + f.jitter(gossipTime/2)
-	fresh := func() bool { return slices.ContainsFunc(f.spread, func(n news) bool { return n.sent < freshSends }) }
-	for _, p := range f.some(gossipTo, func(p *peer) bool { return p.state == Alive && !p.mine }) {
-		if !fresh() {
-			return
-		}
-		f.send(p.Addr, p, Message{Kind: Gossip})
-	}
-}
-
 // compare has views compared that have differed for a while.
 func (f *Fleet) compare(now int64, p *peer, digest uint64) {
 	if digest == f.digest {
@@ -254,7 +215,11 @@
 		add(p.ID, Rumor{ID: p.ID, State: s, Inc: p.inc, Instance: p.Instance, Name: p.Name, Addr: p.Addr})
 	}
 	f.rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	for part := range slices.Chunk(out[:min(len(out), syncParts*MaxRumors)], MaxRumors) {
+	for range syncParts {
+		part := out[:fitting(out, f.room())]
+		if out = out[len(part):]; len(part) == 0 {
+			return
+		}
 		reply(Message{Kind: Entries, Rumors: part})
 	}
 }
--- a/decide/member/watch.go
+++ b/decide/member/watch.go
@@ -144,7 +144,7 @@
 }
 
 func (f *Fleet) accusation(p *peer) Rumor {
-	return Rumor{ID: p.ID, State: Suspect, Inc: p.inc, By: f.self.ID, Instance: p.Instance, Name: p.Name, Addr: p.Addr}
+	return Rumor{ID: p.ID, State: Suspect, Inc: p.inc, By: f.self.ID}
 }
 
 // accuse says that this member could not reach the peer. It says nothing while it doubts itself.
@@ -208,7 +208,7 @@
 		}
 		// One that speaks, and holds this member dead, is not paused: there is nothing to wait for.
 		if p.apart || now-p.suspectAt >= Least {
-			f.hear(now, Rumor{ID: p.ID, State: Dead, Inc: p.inc, By: f.self.ID, Instance: p.Instance, Name: p.Name, Addr: p.Addr})
+			f.hear(now, Rumor{ID: p.ID, State: Dead, Inc: p.inc})
 			p.judged = true
 		}
 	}
--- a/internal/peer/packet/codec.go
+++ b/internal/peer/packet/codec.go
@@ -21,7 +21,8 @@
 //	4 8 4 1   sequence, about whom, pings that have come, flags
 //	8         digest of the sender's view
 //	1 + 4n    sums of buckets
-//	1 + n     rumors: 1 state, 8 id, uv incarnation, 8 by, 8 instance, addr, 1 + n name
+//	1 + n     rumors: 1 state and flags, 8 id, uv incarnation; 8 by where there is one; where the member is described:
+//	          8 instance, addr, 1 + n name
 //
 // Nothing may follow.
 const (
@@ -33,6 +34,9 @@
 	MaxPlain = 1300
 
 	flagBack = 1
+
+	rumorBy   = 0x10
+	rumorSelf = 0x20
 )
 
 // What may be wrong with what was received. Each is final.
@@ -97,13 +101,25 @@
 }
 
 func appendRumor(b []byte, r *member.Rumor) []byte {
-	b = append(b, byte(r.State))
+	name := r.Name[:min(len(r.Name), MaxName)]
+	head := byte(r.State)
+	if r.By != 0 {
+		head |= rumorBy
+	}
+	if r.Instance != 0 || r.Addr.IsValid() || name != "" {
+		head |= rumorSelf
+	}
+	b = append(b, head)
 	b = binary.BigEndian.AppendUint64(b, uint64(r.ID))
 	b = binary.AppendUvarint(b, r.Inc)
-	b = binary.BigEndian.AppendUint64(b, uint64(r.By))
+	if head&rumorBy != 0 {
+		b = binary.BigEndian.AppendUint64(b, uint64(r.By))
+	}
+	if head&rumorSelf == 0 {
+		return b
+	}
 	b = binary.BigEndian.AppendUint64(b, r.Instance)
 	b = appendAddr(b, r.Addr)
-	name := r.Name[:min(len(r.Name), MaxName)]
 	return append(append(b, byte(len(name))), name...)
 }
 
@@ -154,12 +170,14 @@
 	return netip.AddrPortFrom(ip, binary.BigEndian.Uint16(r.take(2)))
 }
 
-func (r *reader) state() member.State {
-	s := member.State(r.u8())
-	if s > member.Left {
+func (r *reader) state() member.State { return r.isState(r.u8()) }
+
+func (r *reader) isState(b byte) member.State {
+	if member.State(b) > member.Left {
 		r.bad = true
+		return member.Unknown
 	}
-	return s
+	return member.State(b)
 }
 
 // decode reads what encode wrote, and nothing else. The message keeps nothing of b.
@@ -198,15 +216,25 @@
 	return e, m, nil
 }
 
+// rumor takes the one form that a rumor has: what is told to be there is not empty.
 func (r *reader) rumor() (out member.Rumor) {
-	out.State, out.ID, out.Inc = r.state(), member.ID(r.u64()), r.uvarint()
-	out.By, out.Instance, out.Addr = member.ID(r.u64()), r.u64(), r.addr()
+	head := r.u8()
+	out.State, out.ID, out.Inc = r.isState(head&^(rumorBy|rumorSelf)), member.ID(r.u64()), r.uvarint()
+	if head&rumorBy != 0 {
+		out.By = member.ID(r.u64())
+		r.bad = r.bad || out.By == 0
+	}
+	if head&rumorSelf == 0 {
+		return out
+	}
+	out.Instance, out.Addr = r.u64(), r.addr()
 	n := int(r.u8())
 	if n > MaxName {
 		r.bad = true
 		return out
 	}
 	out.Name = string(r.take(n))
+	r.bad = r.bad || out.Instance == 0 && !out.Addr.IsValid() && out.Name == ""
 	return out
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -17,11 +17,6 @@
 )
 
 const (
-	// Budget is how many bytes a second a member sends at most on average; Reserve how many it may have saved up. Pings and
-	// their answers are sent whatever the budget says: there are so many and no more, and without them a member is dead.
-	Budget  = 4096
-	Reserve = 64 << 10
-
 	// What is opened in a second: datagrams from addresses of members, and from others. What is more is dropped unread:
 	// opening one takes some microseconds.
 	openKnown  = 4000
@@ -68,8 +63,6 @@
 	known    map[netip.AddrPort]bool
 	hellos   map[netip.AddrPort]loop.Micros
 
-	budget       float64
-	budgetAt     loop.Micros
 	ours, others int // opened in this second, see mayOpen
 	second       loop.Micros
 	counts       Counts
@@ -97,8 +90,7 @@
 // Start joins the fleet.
 func Start(l *loop.Loop, cfg Config, log *logrus.Logger) (*Host, error) {
 	h := &Host{l: l, log: log, cfg: cfg, senders: map[sender]*packet.Window{}, instance: map[member.ID]uint64{},
-		reach: map[member.ID]netip.AddrPort{}, whose: map[netip.AddrPort]member.ID{}, known: map[netip.AddrPort]bool{}, hellos: map[netip.AddrPort]loop.Micros{},
-		budget: Reserve, budgetAt: l.Now()}
+		reach: map[member.ID]netip.AddrPort{}, whose: map[netip.AddrPort]member.ID{}, known: map[netip.AddrPort]bool{}, hellos: map[netip.AddrPort]loop.Micros{}}
 	sock, err := l.ListenDatagrams(cfg.Listen, h.receive)
 	if err != nil {
 		return nil, err
@@ -132,7 +124,10 @@
 func (h *Host) Doubts() bool { return h.fleet.Doubts(h.l.Now()) }
 
 // Counts are what has happened so far.
-func (h *Host) Counts() Counts { return h.counts }
+func (h *Host) Counts() Counts {
+	h.counts.Saved = int64(h.fleet.Saved)
+	return h.counts
+}
 
 // Divisor is by how much the fleet's budgets are divided to have this member's part.
 func (h *Host) Divisor() float64 { return h.fleet.Divisor() }
@@ -173,15 +168,6 @@
 	}
 	h.count++
 	h.plain = packet.Encode(h.plain[:0], packet.Envelope{To: h.instance[id], Count: h.count, Addr: h.self.Addr}, m)
-	size := float64(len(h.plain) + packet.Overhead)
-	now := h.l.Now()
-	h.budget = min(h.budget+Budget*float64(now-h.budgetAt)/1e6, Reserve)
-	h.budgetAt = now
-	if m.Kind != member.Ping && m.Kind != member.Ack && h.budget < size {
-		h.counts.Saved++
-		return
-	}
-	h.budget -= size
 	h.sealed = h.cfg.Ring.Seal(h.sealed[:0], h.plain)
 	h.counts.Sent++
 	h.counts.SentBytes += int64(len(h.sealed))
