Tell accusations together, ask suspects less often in a crash of many; play rates and costs of a fleet

Seen, 100 members in virtual time, seven in ten killed: deaths were seen after 8 s. Ruled out: gossip's targets (drawn among those heard lately: 8.3 s as before).

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run run-pushed fuzz clean
+.PHONY: build test lint run run-pushed fuzz soak clean
 
 # Linked against the machine's C library, as the platform asks: it has to be able to put a library of its own before it.
 export CGO_ENABLED = 1
@@ -33,5 +33,11 @@
 		done; \
 	done
 
+# Members of a fleet in virtual time: every script with so many seeds. A play that breaks a bound is told with the one command
+# that plays it again.
+SOAK ?= 1000
+soak: build
+	bin/spurlab virtual --repeat $(SOAK) --jobs $$(nproc)
+
 clean:
 	rm -rf bin
--- a/decide/member/member.go
+++ b/decide/member/member.go
@@ -43,18 +43,20 @@
 	confirms  = 3
 	hearTime  = 1200 * ms // who was heard within this can say what it fails to reach
 	hearsay   = 300 * ms  // how long others will have suspected one before this member is told
+	newsTime  = 2500 * ms // who was not heard for so long is told no news along with a ping
 	backdate  = 1 * sec   // a suspicion counts from no earlier than this before it
 	ownTry    = 4 * sec   // whoever has held one suspected for so long asks by himself
 	aloneTime = 1 * sec   // hearing nobody for so long is a reason to doubt oneself
 	pauseTime = 300 * ms  // the same, without a Tick
 	doubtTime = 1 * sec   // no accusation for so long after a pause
 
-	tries      = 4 // pings of a probe at most, one more each time that an answer is overdue; a power of two
-	sweepMost  = 4 // pings of a sweep at each Step
-	sweepEach  = 6 // pings for each that could not be reached, while the part of failures is over sweepFrom: two of three just now
-	sweepFrom  = 0.3
-	failWeight = 4
-	sweepAll   = 48
+	tries        = 4 // pings of a probe at most, one more each time that an answer is overdue; a power of two
+	manySuspects = 8 // as many more are each asked half as often
+	sweepMost    = 4 // pings of a sweep at each Step
+	sweepEach    = 6 // pings for each that could not be reached, while the part of failures is over sweepFrom: two of three just now
+	sweepFrom    = 0.3
+	failWeight   = 4
+	sweepAll     = 48
 
 	// Budget is how many bytes a second of news a member sends on average, Reserve how many it may have saved up: enough to
 	// tell of the death of most of a large fleet at once. Pings and their answers, some 900 a second, are sent whatever is left.
@@ -253,7 +255,9 @@
 	failing             float64 // part of the latest probes that failed
 	slow                float64 // what most answers take at most, microseconds
 	sweeps              int     // pings of a sweep still to be sent
-	hears               int     // members heard within hearTime, this one among them; confirms at most
+	accusing            []Rumor // to be told to some
+	suspects            int
+	hears               int // members heard within hearTime, this one among them; confirms at most
 	superseded          bool
 	rivals              uint64 // the instance of a later process that was contradicted
 	told                uint64 // under this incarnation
@@ -335,8 +339,11 @@
 // listen counts who can say what it fails to reach: those that are heard, and do not hold this member dead. Whether it reaches
 // them does not count: the fault may be its own.
 func (f *Fleet) listen(now int64) {
-	f.hears = 0
+	f.hears, f.suspects = 0, 0
 	for _, p := range f.order {
+		if p.state == Suspect {
+			f.suspects++
+		}
 		lately := now-p.heard < hearTime
 		p.hears, p.apart = p.state == Alive && !p.deaf && lately, p.deaf && lately
 		if p.hears {
@@ -487,7 +494,7 @@
 	}
 	m.From, m.Inc, m.Instance, m.Digest = f.self.ID, f.inc, f.self.Instance, f.digest
 	// Who may be gone is told nothing more: what is sent there would count as spread.
-	if room := MaxRumors - len(m.Rumors); m.Kind != Entries && room > 0 && (p == nil || p.state == Alive && !p.mine) {
+	if room := MaxRumors - len(m.Rumors); m.Kind != Entries && room > 0 && (p == nil || p.state == Alive && !p.mine && f.ticked-p.heard < newsTime) {
 		m.Rumors = append(m.Rumors, f.news.pick(min(f.room(), roomInMessage), room, f.sends())...)
 	}
 	for i := range m.Rumors {
--- a/decide/member/spread.go
+++ b/decide/member/spread.go
@@ -127,8 +127,8 @@
 // room is how many bytes may be sent now beyond pings and answers.
 func (f *Fleet) room() int { return max(int(f.purse), 0) }
 
-// gossip sends fresh news on its own, to those who are not suspected: after a crash of many most of it would be lost, and who
-// is suspected is asked, and so told, all the same.
+// gossip sends fresh news on its own, mostly to those who were heard lately: after a crash of many most of it would be lost
+// elsewhere. Who is suspected is asked, and so told, all the same.
 func (f *Fleet) gossip(now int64) {
 	if now < f.gossipAt {
 		return
@@ -137,10 +137,14 @@
 	if f.news.fresh == 0 || f.room() < roomInMessage {
 		return
 	}
-	for _, p := range f.some(gossipTo, func(p *peer) bool { return p.state == Alive && !p.mine }) {
-		if f.news.fresh == 0 {
+	for i := range gossipTo {
+		to := f.some(1, func(p *peer) bool { return p.hears && !p.mine })
+		if i == 0 || len(to) == 0 { // and anybody, so that those who hear each other are no closed circle
+			to = f.some(1, func(p *peer) bool { return p.state == Alive && !p.mine })
+		}
+		if f.news.fresh == 0 || len(to) == 0 {
 			return
 		}
-		f.send(p.Addr, p, Message{Kind: Gossip})
+		f.send(to[0].Addr, to[0], Message{Kind: Gossip})
 	}
 }
--- a/decide/member/watch.go
+++ b/decide/member/watch.go
@@ -25,6 +25,7 @@
 	for _, p := range f.order {
 		f.follow(now, p)
 	}
+	f.tellAccused()
 	f.sweep(now)
 	if now < f.turnAt {
 		return
@@ -83,7 +84,7 @@
 func (f *Fleet) follow(now int64, p *peer) {
 	switch {
 	case p.state != Suspect || p.probe != nil:
-	case p.mine && now-p.triedAt >= probeTime:
+	case p.mine && now-p.triedAt >= probeTime*int64(1+f.suspects/manySuspects):
 		f.ping(now, p)
 	case !p.mine && now-max(p.since, p.triedAt) >= ownTry:
 		p.triedAt = now
@@ -92,7 +93,7 @@
 	f.enough(now, p) // fewer may be enough than a moment ago
 	if p.againAt > 0 && now >= p.againAt {
 		if p.againAt = 0; p.mine && p.state == Alive {
-			f.askOthers(p, f.accusation(p))
+			f.accusing = append(f.accusing, f.accusation(p))
 		}
 	}
 	q := p.probe
@@ -101,11 +102,14 @@
 	}
 	late := now - q.began
 	usual := f.usual(p)
-	if q.count < tries && late >= int64(q.count)*againAt(usual) {
+	// A suspect is asked again and again, by all that failed to reach it.
+	if p.state == Alive && q.count < tries && late >= int64(q.count)*againAt(usual) {
 		f.question(now, p)
 	}
 	if !q.asked && late >= helpAt(usual) {
-		q.asked = true
+		if q.asked = true; f.failing > sweepFrom {
+			return // as many helpers would be gone, and all find out by themselves
+		}
 		for _, h := range f.some(helpers, func(o *peer) bool { return o != p && o.state == Alive && !o.mine }) {
 			f.send(h.Addr, h, Message{Kind: Ask, Seq: q.seq, About: p.ID})
 		}
@@ -172,15 +176,24 @@
 		}
 	}
 	if !asked {
-		f.askOthers(p, r)
+		f.accusing = append(f.accusing, r)
 		p.againAt = now + ackWait + f.usual(p)
 	}
 }
 
-// askOthers tells some what this member says of a peer, so that they find out for themselves.
-func (f *Fleet) askOthers(p *peer, r Rumor) {
-	for _, o := range f.some(Watchers, func(o *peer) bool { return o != p && o.state == Alive && !o.mine }) {
-		f.send(o.Addr, o, Message{Kind: Gossip, Rumors: []Rumor{r}})
+// tellAccused tells some what this member has failed to reach, so that they find out for themselves: all of it in one message.
+func (f *Fleet) tellAccused() {
+	f.accusing = slices.DeleteFunc(f.accusing, func(r Rumor) bool { p := f.peers[r.ID]; return p == nil || p.state != Alive || !p.mine })
+	part := f.accusing[:fitting(f.accusing, roomInMessage)]
+	if f.accusing = f.accusing[len(part):]; len(part) == 0 {
+		return
+	}
+	to := f.some(Watchers, func(o *peer) bool { return o.hears && !o.mine })
+	if len(to) < Watchers {
+		to = append(to, f.some(Watchers-len(to), func(o *peer) bool { return o.state == Alive && !o.hears && !o.mine })...)
+	}
+	for _, o := range to {
+		f.send(o.Addr, o, Message{Kind: Gossip, Rumors: slices.Clone(part)})
 	}
 }
 
--- a/lab/members/members.go
+++ b/lab/members/members.go
@@ -28,7 +28,7 @@
 type Trial struct {
 	Name      form.Name         `xml:"name,attr" use:"required"`
 	About     form.Text         `xml:"about,attr" use:"required" doc:"what it shows, in one line"`
-	Script    string            `xml:"script,attr" use:"required" enum:"pause,loss,one-sided,split,storm,quiet,weak" doc:"what is done, see lab/trial"`
+	Script    string            `xml:"script,attr" use:"required" enum:"pause,loss,one-sided,split,storm,quiet,weak,tired,return,rates,cost" doc:"what is done, see lab/trial"`
 	Processes int               `xml:"processes,attr" default:"16" min:"3" max:"40"`
 	Seeds     int               `xml:"seeds,attr" default:"3" min:"1" max:"40" doc:"how many of them all others are told of at their start"`
 	Bounds    experiment.Bounds `xml:"bounds"`
@@ -64,45 +64,59 @@
 		return nil, err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
+	r := &report.Report{Experiment: string(c.Name), Seed: o.Seed, Command: o.Command, Commit: o.Commit, Figures: map[string]float64{},
+		Notes: map[string]string{}}
+	r.Figures["members"] = float64(c.Processes)
+	log := func(format string, args ...any) {
+		if o.Progress != nil {
+			_, _ = fmt.Fprintf(o.Progress, string(c.Name)+" "+format+"\n", args...)
+		}
+	}
+	play := map[string]func(context.Context, experiment.Options, string, *report.Report, func(string, ...any)) error{
+		"rates": c.rates, "cost": c.cost}[c.Script]
+	if play == nil {
+		play = c.script
+	}
+	if err := play(ctx, o, dir, r, log); err != nil {
+		return nil, err
+	}
+	c.Bounds.Check(r)
+	return r, nil
+}
+
+// script plays one of lab/trial's scripts.
+func (c *Trial) script(ctx context.Context, o experiment.Options, dir string, r *report.Report, log func(string, ...any)) error {
 	f, err := procs.New(o.Program, dir, c.Processes, c.Seeds, o.Seed)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer f.Close()
 	if err := f.Start(); err != nil {
-		return nil, err
+		return err
 	}
 	s := procs.NewStage(f, o.Seed)
 	defer s.Close()
 	defer context.AfterFunc(ctx, f.Close)()
-	log := func(format string, args ...any) {
-		if o.Progress != nil {
-			_, _ = fmt.Fprintf(o.Progress, string(c.Name)+" "+format+"\n", args...)
-		}
-	}
 	t := trial.New(s, log)
 	if err := procs.Await(joinTime, "all find each other", func() bool { return ctx.Err() != nil || f.Agreed(t.All()) }); err != nil {
-		return nil, err
+		return err
 	}
 	// What was said before is not judged.
 	if err := s.Run(s.Now()); err != nil {
-		return nil, err
+		return err
 	}
 	s.Changed = t.Changed
 	s.Count()
 	t.Watch()
 	until := s.Now() + trial.Scenarios[c.Script](t) + trial.Settle
 	if err := s.Run(until); err != nil || ctx.Err() != nil {
-		return nil, fmt.Errorf("the trial ended early: %w", context.Cause(ctx))
+		return fmt.Errorf("the trial ended early: %w", context.Cause(ctx))
 	}
 	got := t.Result(c.Script, o.Seed)
 	got.BytesPerS = s.BytesPerS()
-	r := &report.Report{Experiment: string(c.Name), Seed: o.Seed, Command: o.Command, Commit: o.Commit, Figures: map[string]float64{},
-		Notes: map[string]string{}}
 	for _, one := range got.Figures() {
 		r.Figures[one.Name] = one.Measured
 	}
-	r.Figures["members"] = float64(c.Processes)
 	var seen []float64
 	for _, d := range got.Seen {
 		seen = append(seen, float64(d.Microseconds())/1000)
@@ -111,6 +125,5 @@
 	r.Notes["faults"] = strings.Join(t.Told, "; ")
 	r.Charts = []report.Chart{{Name: "seen", Title: string(c.Name) + ": from a crash until a member holds it dead", X: "members and crashes, %",
 		Y: "ms", Series: []report.Series{report.Percentiles("seen", seen)}}}
-	c.Bounds.Check(r)
-	return r, nil
+	return nil
 }
--- a/lab/procs/procs.go
+++ b/lab/procs/procs.go
@@ -38,10 +38,15 @@
 	Procs   []*Proc
 	// Site is added to each site file, within the root element.
 	Site string
+	// Apart leaves membership out of the site files.
+	Apart bool
+	// Known is the list of nodes that each process is told of at its start, as discovery writes it.
+	Known []any
 	// Change changes a process's configuration before it is written; see config.
 	Change func(i int, config map[string]any)
 
-	at []netip.AddrPort
+	seeds int
+	at    []netip.AddrPort
 }
 
 // Proc is one of them.
@@ -66,7 +71,7 @@
 
 // New prepares n processes that are not started. The first seeds of them are everybody's seeds.
 func New(program, dir string, n, seeds int, seed uint64) (*Fleet, error) {
-	f := &Fleet{Program: program, Dir: dir}
+	f := &Fleet{Program: program, Dir: dir, seeds: seeds}
 	ips, err := loopbacks(n)
 	if err != nil {
 		return nil, err
@@ -86,11 +91,6 @@
 	if f.Net, err = cut.New(f.at, seed); err != nil {
 		return nil, err
 	}
-	for _, p := range f.Procs {
-		if err := p.writeSite(seeds); err != nil {
-			return nil, errors.Join(err, f.Net.Close())
-		}
-	}
 	return f, nil
 }
 
@@ -137,21 +137,25 @@
 	return c.Close()
 }
 
-func (p *Proc) writeSite(seeds int) error {
+func (p *Proc) writeSite() error {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, `<spurspread xmlns="urn:spurspread:site:1" name="rig">%s`+"\n"+`  <fleet member="%s" listen="%s"><seeds>`, p.f.Site, p.Name, p.f.at[p.i])
-	for s := range min(seeds, len(p.f.Procs)) {
-		if s != p.i {
-			fmt.Fprintf(&b, `<seed at="%s"/>`, p.f.Net.Via(p.i, s))
+	fmt.Fprintf(&b, `<spurspread xmlns="urn:spurspread:site:1" name="rig">%s`, p.f.Site)
+	if !p.f.Apart {
+		fmt.Fprintf(&b, "\n"+`  <fleet member="%s" listen="%s"><seeds>`, p.Name, p.f.at[p.i])
+		for s := range min(p.f.seeds, len(p.f.Procs)) {
+			if s != p.i {
+				fmt.Fprintf(&b, `<seed at="%s"/>`, p.f.Net.Via(p.i, s))
+			}
 		}
-	}
-	b.WriteString("</seeds><reach>")
-	for j, other := range p.f.Procs {
-		if j != p.i {
-			fmt.Fprintf(&b, `<member name="%s" at="%s"/>`, other.Name, p.f.Net.Via(p.i, j))
+		b.WriteString("</seeds><reach>")
+		for j, other := range p.f.Procs {
+			if j != p.i {
+				fmt.Fprintf(&b, `<member name="%s" at="%s"/>`, other.Name, p.f.Net.Via(p.i, j))
+			}
 		}
+		fmt.Fprintf(&b, `</reach><keys><key id="rig" file="%s" use="mint"/></keys></fleet>`, filepath.Join(p.f.Dir, "key"))
 	}
-	fmt.Fprintf(&b, `</reach><keys><key id="rig" file="%s" use="mint"/></keys></fleet>`+"\n</spurspread>\n", filepath.Join(p.f.Dir, "key"))
+	b.WriteString("\n</spurspread>\n")
 	return os.WriteFile(p.site(), b.Bytes(), 0o600)
 }
 
@@ -162,7 +166,7 @@
 	c := map[string]any{
 		"name": p.Name, "listen": p.Listen, "mgmt": p.Mgmt, "discovery": "127.0.0.1:1", "seed": fmt.Sprintf("%x", time.Now().UnixNano()),
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
-		"known":  map[string]any{"generation": 0, "reset": true, "instances": []any{}},
+		"known":  map[string]any{"generation": 0, "reset": true, "instances": append([]any{}, p.f.Known...)},
 		"settings": map[string]any{"balancers": len(p.f.Procs), "rank": p.i, "zone": 0, "dcs": []string{"a"}, "skus": []string{"m"}, "discovery": "push",
 			"limits": map[string]any{"most_tries": 4, "probes": true, "may_cancel": true, "retry_after": true, "max_retry_after": 1_000_000,
 				"connect_timeout": 75_000},
@@ -178,6 +182,9 @@
 
 // Start starts the process, and waits until its management address answers.
 func (p *Proc) Start() error {
+	if err := p.writeSite(); err != nil {
+		return err
+	}
 	path := filepath.Join(p.f.Dir, p.Name+".json")
 	text, err := json.Marshal(p.config())
 	if err != nil {
@@ -283,6 +290,16 @@
 	return "", 0
 }
 
+// Pid is the number of its process.
+func (p *Proc) Pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // Tail is the end of its log.
 func (p *Proc) Tail() []string {
 	p.mu.Lock()
--- a/lab/pump/pump.go
+++ b/lab/pump/pump.go
@@ -48,6 +48,11 @@
 		return Sample{}, err
 	}
 	defer b.Kill()
+	return Lines(b.Addr(), b.Pid(), conns, span, channels)
+}
+
+// Lines measures a balancer that runs, with clients on a node that echoes.
+func Lines(addr string, pid, conns int, span time.Duration, channels bool) (Sample, error) {
 	var lines atomic.Int64
 	var failed atomic.Pointer[error]
 	var clients, up sync.WaitGroup
@@ -56,7 +61,8 @@
 	var shared *sshchan.Conn
 	for i := range conns {
 		if channels && i%share == 0 {
-			if shared, err = connect(b.Addr()); err != nil {
+			var err error
+			if shared, err = connect(addr); err != nil {
 				return Sample{}, err
 			}
 			defer func(c *sshchan.Conn) { _ = c.Close() }(shared)
@@ -66,7 +72,7 @@
 		over := shared
 		go func() {
 			defer clients.Done()
-			if err := pump(b.Addr(), over, i, &up, begin, stop, &lines); err != nil {
+			if err := pump(addr, over, i, &up, begin, stop, &lines); err != nil {
 				failed.Store(&err)
 			}
 		}()
@@ -74,16 +80,61 @@
 	up.Wait()
 	close(begin)
 	time.Sleep(span / 10) // until all run
-	from, cpu := lines.Load(), cpuTime(b.Pid())
+	return finish(pid, span, 2, &lines, func() error {
+		close(stop)
+		clients.Wait()
+		if err := failed.Load(); err != nil {
+			return *err
+		}
+		return nil
+	})
+}
+
+// finish counts for a span, and ends what is counted.
+func finish(pid int, span time.Duration, each float64, count *atomic.Int64, stop func() error) (Sample, error) {
+	from, cpu := count.Load(), CPUTime(pid)
 	start := time.Now()
 	time.Sleep(span)
-	passed, took, used := lines.Load()-from, time.Since(start), cpuTime(b.Pid())-cpu
-	close(stop)
-	clients.Wait()
-	if err := failed.Load(); err != nil {
-		return Sample{}, *err
+	passed, took, used := count.Load()-from, time.Since(start), CPUTime(pid)-cpu
+	return Sample{each * float64(passed) / took.Seconds(), each * float64(passed) / used.Seconds()}, stop()
+}
+
+// SetUps measures how many connections come to stand, with clients that each open one, end it, and open the next.
+func SetUps(addr string, pid, clients int, span time.Duration) (Sample, error) {
+	var ups, tries atomic.Int64
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	for i := range clients {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				c, err := net.Dial("tcp", addr)
+				if err != nil {
+					continue
+				}
+				_, _ = fmt.Fprintf(c, "OPEN %x%08x 7f c=%s,d=1200\r\n", i+1, tries.Add(1), world.IndexSync) // an error shows at the read
+				got, err := bufio.NewReader(c).ReadString('\n')
+				if err == nil && strings.HasPrefix(got, "UP ") {
+					ups.Add(1)
+				} else {
+					time.Sleep(20 * time.Millisecond)
+				}
+				_ = c.Close()
+			}
+		}()
 	}
-	return Sample{2 * float64(passed) / took.Seconds(), 2 * float64(passed) / used.Seconds()}, nil
+	time.Sleep(span / 10)
+	return finish(pid, span, 1, &ups, func() error {
+		close(stop)
+		wg.Wait()
+		return nil
+	})
 }
 
 func connect(addr string) (*sshchan.Conn, error) {
@@ -150,8 +201,8 @@
 	return nil, nil, fmt.Errorf("connection %d never came to stand", i)
 }
 
-// cpuTime is what a process has used, from /proc; its clock ticks a hundred times a second.
-func cpuTime(pid int) time.Duration {
+// CPUTime is what a process has used, from /proc; its clock ticks a hundred times a second.
+func CPUTime(pid int) time.Duration {
 	text, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "stat"))
 	if err != nil {
 		return 0
