Read the site file once, rekey the fleet at SIGHUP, and hold a fleet's cost to that of one balancer

Seen in member-cost: 5.8 MB more idle memory with membership on. Ruled out by profiles: the decider (6 KB a second of garbage), seals, datagrams. At fault: internal/form compiles its patterns at each read, and serve read the site file twice (read, members), 0.9 MB each, below the collector's first threshold. Keys of the fleet are read again at SIGHUP; a withdrawn key shuts out who has no other (test).

--- a/cmd/spurlab/main.go
+++ b/cmd/spurlab/main.go
@@ -193,6 +193,7 @@
 	Repeat  int    `default:"1" help:"Play each script so often, each time with the next seed."`
 	Jobs    int    `default:"4" help:"Play so many at once."`
 	Plant   string `placeholder:"FAULT" help:"Plant a fault in the members, to see that the checker finds it: same-incarnation, blind-to-pauses or one-observer."`
+	Way     string `placeholder:"WAY" help:"Play a way that was not taken: heartbeats, phi or swim."`
 	Log     bool   `help:"Tell what is done, and what is found."`
 	Out     string `placeholder:"FILE" help:"Where to write a row for each play (CSV)."`
 }
@@ -214,6 +215,11 @@
 		scripts = []string{c.Script}
 	}
 	build := virtual.Members(3)
+	if c.Way != "" {
+		if build = virtual.Ways[c.Way]; build == nil {
+			return fmt.Errorf("no way %q", c.Way)
+		}
+	}
 	if c.Plant != "" {
 		if virtual.Plants[c.Plant] == nil {
 			return fmt.Errorf("no fault %q", c.Plant)
--- a/cmd/spurspread/fleet.go
+++ b/cmd/spurspread/fleet.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -29,6 +30,9 @@
 	lookUpTime  = 5 * time.Second
 )
 
+// foundTime is in which members have mostly found each other.
+const foundTime = 5 * time.Second
+
 // fleet is what the process has of membership; nil where the site file does not turn it on.
 type fleet struct {
 	host *peer.Host
@@ -72,23 +76,28 @@
 }
 
 // joinFleet makes this process a member, and has the relay go by the members that are there.
-func joinFleet(l *loop.Loop, cfg *peer.Config, seeds []string, r *relay.Relay, log *logrus.Logger) (*fleet, error) {
+func joinFleet(l *loop.Loop, cfg *peer.Config, seeds []*site.Seed, r *relay.Relay, log *logrus.Logger) (*fleet, error) {
 	cfg.Changed = r.Fleet
 	host, err := peer.Start(l, *cfg, log)
 	if err != nil {
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
+	// What reading the file and finding the others took, two megabytes and the pages of the program for it, nothing needs again.
+	l.After(foundTime.Microseconds(), func() {
+		debug.FreeOSMemory()
+		releasePages()
+	})
 	go lookUp(ctx, seeds, func(addrs []netip.AddrPort) { l.Post(func() { host.Seeds(addrs) }) })
 	return &fleet{host, stop}, nil
 }
 
 // lookUp finds the seeds' addresses, again and again, outside the loop. A name that can't be found is left out until it can.
-func lookUp(ctx context.Context, seeds []string, found func([]netip.AddrPort)) {
+func lookUp(ctx context.Context, seeds []*site.Seed, found func([]netip.AddrPort)) {
 	for {
 		var all []netip.AddrPort
 		for _, s := range seeds {
-			host, port, err := net.SplitHostPort(s)
+			host, port, err := net.SplitHostPort(string(s.At))
 			if err != nil {
 				continue
 			}
@@ -147,6 +156,13 @@
 	return v
 }
 
+// rekey takes the keys of a site file that was read again; all else of its fleet holds until the process ends.
+func (f *fleet) rekey(cfg *peer.Config) {
+	if f != nil && cfg != nil {
+		f.host.Rekey(cfg.Ring)
+	}
+}
+
 // leave has the fleet told that this member goes.
 func (f *fleet) leave() {
 	if f != nil {
--- a/cmd/spurspread/serve.go
+++ b/cmd/spurspread/serve.go
@@ -57,11 +57,11 @@
 	signals := make(chan os.Signal, 16)
 	signal.Notify(signals, unix.SIGTERM, unix.SIGINT, unix.SIGHUP)
 	defer signal.Stop(signals)
-	cfg, lim, err := c.read(s.getenv)
+	cfg, lim, own, err := c.read(s.getenv)
 	if err != nil {
 		return err
 	}
-	members, seeds, err := c.members(lim.name, cfg.Seed)
+	members, err := membership(own, lim.name, cfg.Seed)
 	if err != nil {
 		return err
 	}
@@ -86,7 +86,7 @@
 	lists.start(r.Addr())
 	var peers *fleet
 	if members != nil {
-		if peers, err = joinFleet(l, members, seeds, r, log); err != nil {
+		if peers, err = joinFleet(l, members, own.Fleet.Seeds.Seed, r, log); err != nil {
 			return errors.Join(err, l.Close())
 		}
 	}
@@ -101,7 +101,7 @@
 	go func() {
 		for sig := range signals {
 			if sig == unix.SIGHUP {
-				c.reload(s.getenv, l, r, log)
+				c.reload(s.getenv, l, r, peers, log)
 			} else if pid := successor(note, listen); pid != 0 {
 				l.Post(func() { r.HandOver(taking, pid) })
 			} else {
@@ -145,14 +145,21 @@
 }
 
 // reload reads all files again, outside the loop. What can't be used changes nothing.
-func (c *serve) reload(getenv func(string) string, l *loop.Loop, r *relay.Relay, log *logrus.Logger) {
-	cfg, lim, err := c.read(getenv)
+func (c *serve) reload(getenv func(string) string, l *loop.Loop, r *relay.Relay, peers *fleet, log *logrus.Logger) {
+	cfg, lim, own, err := c.read(getenv)
+	var members *peer.Config
+	if err == nil {
+		members, err = membership(own, lim.name, cfg.Seed)
+	}
 	if err != nil {
 		log.WithField(logs.File, c.Config).Error("the configuration and settings stay as they were, whole: ", oneLine(err))
 		return
 	}
 	lim.limitMemory()
-	l.Post(func() { r.Reload(cfg) })
+	l.Post(func() {
+		r.Reload(cfg)
+		peers.rekey(members)
+	})
 }
 
 // limitMemory has the collector work harder near the limit; the rest is for stacks, the binary and the kernel's
@@ -163,36 +170,19 @@
 	}
 }
 
-// read reads the configuration and, where one is named, the site file.
-func (c *serve) read(getenv func(string) string) (relay.Config, limits, error) {
+// read reads the configuration and the site file, which is empty where none is named.
+func (c *serve) read(getenv func(string) string) (relay.Config, limits, *site.Site, error) {
+	own := &site.Site{}
 	cfg, lim, err := c.configure(getenv)
 	if err != nil || c.Site == "" {
-		return cfg, lim, err
-	}
-	s, err := site.Load(c.Site)
-	if err != nil {
-		return cfg, lim, err
-	}
-	cfg.Channels = channels(s)
-	cfg.Resume, err = resumption(s)
-	return cfg, lim, err
-}
-
-// members reads what the site file says of the fleet, which holds until the process ends; nil where it says nothing.
-func (c *serve) members(name string, seed uint64) (*peer.Config, []string, error) {
-	if c.Site == "" {
-		return nil, nil, nil
-	}
-	s, err := site.Load(c.Site)
-	if err != nil || s.Fleet == nil {
-		return nil, nil, err
+		return cfg, lim, own, err
 	}
-	var seeds []string
-	for _, one := range s.Fleet.Seeds.Seed {
-		seeds = append(seeds, string(one.At))
+	if own, err = site.Load(c.Site); err != nil {
+		return cfg, lim, nil, err
 	}
-	cfg, err := membership(s, name, seed)
-	return cfg, seeds, err
+	cfg.Channels = channels(own)
+	cfg.Resume, err = resumption(own)
+	return cfg, lim, own, err
 }
 
 // configure reads the platform's file. The plain variables stand in for what it does not have.
--- a/decide/member/watch.go
+++ b/decide/member/watch.go
@@ -212,7 +212,7 @@
 
 // judge holds those dead whose suspicion has lasted, as far as this member could not reach them itself.
 func (f *Fleet) judge(now int64) {
-	if f.Doubts(now) {
+	if f.suspects == 0 || f.Doubts(now) {
 		return
 	}
 	for _, p := range slices.Clone(f.order) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -132,6 +132,9 @@
 // Divisor is by how much the fleet's budgets are divided to have this member's part.
 func (h *Host) Divisor() float64 { return h.fleet.Divisor() }
 
+// Rekey has datagrams sealed and opened with other keys from now on.
+func (h *Host) Rekey(ring *packet.Ring) { h.cfg.Ring = ring }
+
 // Leave tells the fleet that this member goes.
 func (h *Host) Leave() { h.carry(h.fleet.Leave(h.l.Now())) }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -118,6 +118,25 @@
 	s.await("one that leaves says so", func() bool { return sees(a, "b", member.Left) && sees(c, "b", member.Left) })
 }
 
+// A key that is withdrawn shuts out who has no other; with the new one it is heard again.
+func TestRekey(t *testing.T) {
+	s := newStage(t)
+	a := s.host("a", 1)
+	b := s.host("b", 1, a.Addr())
+	s.await("both know each other", func() bool { return sees(a, "b", member.Alive) && sees(b, "a", member.Alive) })
+	next := ring(t, 2)
+	var taken int64
+	s.do(func() { a.Rekey(next); taken = a.Counts().Taken })
+	s.await("who has the old key only is not heard", func() bool { return a.Counts().Forged > 0 })
+	s.do(func() {
+		if n := a.Counts(); n.Taken != taken {
+			t.Errorf("%d datagrams with a withdrawn key are taken", n.Taken-taken)
+		}
+		b.Rekey(ring(t, 2))
+	})
+	s.await("with the new key it is", func() bool { return a.Counts().Taken > taken })
+}
+
 // A flood from strangers is dropped unread beyond what is opened in a second, and members are heard meanwhile.
 func TestFlood(t *testing.T) {
 	s := newStage(t)
--- a/lab/members/cost.go
+++ b/lab/members/cost.go
@@ -52,7 +52,7 @@
 		defer f.Close()
 		f.Known, f.Apart = known, on == 0
 		f.Change = func(i int, config map[string]any) {
-			config["settings"].(map[string]any)["balancers"] = 1
+			config["settings"].(map[string]any)["balancers"] = c.Processes // both are one of so many
 			config["settings"].(map[string]any)["request_classes"].([]any)[0].(map[string]any)["name"] = "index-sync"
 			config["limits"].(map[string]any)["sockets"] = 4096
 		}
--- a/lab/members/members.go
+++ b/lab/members/members.go
@@ -28,7 +28,7 @@
 type Trial struct {
 	Name      form.Name         `xml:"name,attr" use:"required"`
 	About     form.Text         `xml:"about,attr" use:"required" doc:"what it shows, in one line"`
-	Script    string            `xml:"script,attr" use:"required" enum:"pause,loss,one-sided,split,storm,quiet,weak,tired,return,rates,cost" doc:"what is done, see lab/trial"`
+	Script    string            `xml:"script,attr" use:"required" enum:"pause,loss,one-sided,split,storm,quiet,weak,tired,return,rates,cost,fleet" doc:"what is done, see lab/trial"`
 	Processes int               `xml:"processes,attr" default:"16" min:"3" max:"40"`
 	Seeds     int               `xml:"seeds,attr" default:"3" min:"1" max:"40" doc:"how many of them all others are told of at their start"`
 	Bounds    experiment.Bounds `xml:"bounds"`
@@ -73,7 +73,7 @@
 		}
 	}
 	play := map[string]func(context.Context, experiment.Options, string, *report.Report, func(string, ...any)) error{
-		"rates": c.rates, "cost": c.cost}[c.Script]
+		"rates": c.rates, "cost": c.cost, "fleet": c.fleet}[c.Script]
 	if play == nil {
 		play = c.script
 	}
--- a/lab/trial/checker.go
+++ b/lab/trial/checker.go
@@ -15,6 +15,7 @@
 
 	// What was found.
 	FalseDead    int             // held dead by somebody, though it ran, was paused for no more than Bearable and nothing was cut
+	HeldDead     int             // the same, however long it was paused
 	DeadReturned int             // alive again without a newer incarnation
 	Flaps        int             // most often that one observer took one member back after one fault
 	Seen         []time.Duration // from a crash until one member held the crashed one dead
@@ -95,6 +96,9 @@
 	switch {
 	case to == member.Dead:
 		c.deadInc[key] = inc
+		if m.up && !m.leaves && !c.apart && !m.excused {
+			c.HeldDead++
+		}
 		if m.up && !m.leaves && m.longest <= c.Bearable && !c.apart && !m.excused {
 			c.FalseDead++
 			c.say("%d holds %d dead, which runs", observer, of)
--- a/lab/trial/scenario.go
+++ b/lab/trial/scenario.go
@@ -8,11 +8,11 @@
 	"spurspread/lab/link"
 )
 
-// script is what is done to a world, and how long it lasts after the members have joined.
-type script func(t *Trial) time.Duration
+// Script does something to the members of a trial, and returns how long it lasts after they have joined.
+type Script func(t *Trial) time.Duration
 
 // Scenarios are the scripts by name.
-var Scenarios = map[string]script{
+var Scenarios = map[string]Script{
 	"pause": pauses, "loss": losses, "one-sided": oneSided, "split": splits, "storm": storm, "quiet": quiet, "weak": weak, "tired": tired, "return": returns,
 }
 
@@ -234,3 +234,30 @@
 	})
 	return at + MostDiffer
 }
+
+// Lossy kills some members, one after the other, while this part of all messages is lost.
+func Lossy(loss float64) Script {
+	return func(t *Trial) time.Duration {
+		t.Fault(time.Second, fmt.Sprintf("%.0f%% of all messages are lost", 100*loss), func() {
+			t.Set(t.All(), t.All(), func(l *link.Link) { l.Loss, l.Jitter = loss, 20*time.Millisecond })
+		})
+		at := 3 * time.Second
+		for _, i := range t.Draw(4) {
+			t.Fault(at, fmt.Sprintf("member %d is killed", i), func() { t.Kill(i) })
+			at += 2 * time.Second
+		}
+		return at + MostDiffer
+	}
+}
+
+// Paused stops some members for this long, one after the other.
+func Paused(span time.Duration) Script {
+	return func(t *Trial) time.Duration {
+		at := time.Second
+		for _, i := range t.Draw(6) {
+			t.Fault(at, fmt.Sprintf("%d is paused for %d ms", i, span/time.Millisecond), func() { t.Pause(i, span) })
+			at += span + 3*time.Second
+		}
+		return at
+	}
+}
--- a/lab/trial/trial.go
+++ b/lab/trial/trial.go
@@ -128,10 +128,10 @@
 	Seed     uint64
 	Hash     string // of all events, in virtual time
 
-	FalseDead, DeadReturned, Flaps, Unseen int
-	Seen                                   []time.Duration // from a crash until one member held the crashed one dead
-	Differ                                 time.Duration
-	BytesPerS                              float64 // of one member, on average, while the script was played
+	FalseDead, HeldDead, DeadReturned, Flaps, Unseen int
+	Seen                                             []time.Duration // from a crash until one member held the crashed one dead
+	Differ                                           time.Duration
+	BytesPerS                                        float64 // of one member, on average, while the script was played
 }
 
 // Bounds of every play, as issue 22 has them.
@@ -192,6 +192,6 @@
 
 // Result is what was found so far.
 func (t *Trial) Result(name string, seed uint64) *Result {
-	return &Result{Scenario: name, Members: t.Members(), Seed: seed, FalseDead: t.FalseDead, DeadReturned: t.DeadReturned,
+	return &Result{Scenario: name, Members: t.Members(), Seed: seed, FalseDead: t.FalseDead, HeldDead: t.HeldDead, DeadReturned: t.DeadReturned,
 		Flaps: t.Flaps, Unseen: t.Unseen(), Seen: t.Seen, Differ: t.Differ}
 }
--- a/lab/virtual/fleet.go
+++ b/lab/virtual/fleet.go
@@ -16,14 +16,15 @@
 // MemberID is the id of member i.
 func MemberID(i int) member.ID { return member.ID(0x9e3779b97f4a7c15 * uint64(i+1)) }
 
-func name(i int) string { return fmt.Sprint("n", i) }
+// Name is what member i is called.
+func Name(i int) string { return fmt.Sprint("n", i) }
 
 // Members builds members as the balancer has them, each knowing the first few as seeds.
 func Members(seeds int) func(w *World, i, start int) Detector {
 	return func(w *World, i, start int) Detector {
 		clock := w.now + w.skew[i]
 		cfg := member.Config{Seed: w.rng.Uint64(), Inc: uint64(clock / Millisecond), Self: member.Self{ID: MemberID(i),
-			Name: name(i), Addr: Addr(i), Instance: uint64(clock)<<8 | uint64(start)}}
+			Name: Name(i), Addr: Addr(i), Instance: uint64(clock)<<8 | uint64(start)}}
 		for s := range seeds {
 			cfg.Seeds = append(cfg.Seeds, Addr(s))
 		}
@@ -62,23 +63,28 @@
 // Inc is part of Detector.
 func (s swim) Inc() uint64 { return s.f.Inc() }
 
-// Play plays a script, with members as build makes them. The same seed brings the same events.
+// Play plays one of lab/trial's scripts, with members as build makes them. The same seed brings the same events.
 func Play(script string, members int, seed uint64, build func(w *World, i, start int) Detector, log func(string, ...any)) (*trial.Result, error) {
 	do := trial.Scenarios[script]
 	if do == nil {
 		return nil, fmt.Errorf("no scenario %q; there are %v", script, trial.Names())
 	}
+	return PlayScript(script, do, members, seed, build, log), nil
+}
+
+// PlayScript is Play for a script that has no name there.
+func PlayScript(name string, do trial.Script, members int, seed uint64, build func(w *World, i, start int) Detector, log func(string, ...any)) *trial.Result {
 	w := NewWorld(members, seed, link.Link{Delay: 200 * time.Microsecond, Jitter: 400 * time.Microsecond}, build)
 	for i := range members {
 		w.at(w.rng.Int64N(Second), evFault, i, 0, func() { w.Start(i) })
 	}
-	w.Run(w.now + trial.JoinTime.Microseconds())
+	w.join(members)
 	clear(w.Bytes)
 	from := w.now
 	t := trial.New(w, log)
 	index := map[string]int{}
 	for i := range members {
-		index[name(i)] = i
+		index[Name(i)] = i
 	}
 	w.Changed = func(observer int, c member.Change) { t.Changed(w.Now(), observer, index[c.Name], c.From, c.To, c.Inc) }
 	t.Watch()
@@ -88,7 +94,33 @@
 	for _, b := range w.Bytes {
 		sum += b
 	}
-	r := t.Result(script, seed)
+	r := t.Result(name, seed)
 	r.Hash, r.BytesPerS = w.Hash(), float64(sum)/float64(members)/(float64(w.now-from)/float64(Second))
-	return r, nil
+	return r
+}
+
+// join runs until all members that there are know each other: JoinTime at least, and as long as it takes to tell each of all
+// others within the budget.
+func (w *World) join(members int) {
+	w.Run(w.now + trial.JoinTime.Microseconds())
+	for range mostJoin {
+		if w.whole() {
+			return
+		}
+		w.Run(w.now + Second)
+	}
+}
+
+// mostJoin bounds how many seconds more members are given to find each other.
+const mostJoin = 300
+
+func (w *World) whole() bool {
+	for i := range w.nodes {
+		for o := range w.nodes {
+			if s := w.Holds(i, o); i != o && s != member.Alive {
+				return false
+			}
+		}
+	}
+	return true
 }
--- a/lab/virtual/ways.go
+++ b/lab/virtual/ways.go
@@ -80,7 +80,7 @@
 }
 
 func (b *beats) turn(o int, s member.State) member.Change {
-	c := member.Change{ID: MemberID(o), Name: name(o), From: b.state[o], To: s, Inc: b.incs[o]}
+	c := member.Change{ID: MemberID(o), Name: Name(o), From: b.state[o], To: s, Inc: b.incs[o]}
 	b.state[o] = s
 	return c
 }
@@ -211,7 +211,7 @@
 	s.state[n.of], s.incs[n.of], s.since[n.of] = n.state, n.inc, now
 	s.tell(n)
 	if was != n.state {
-		changes = append(changes, member.Change{ID: MemberID(n.of), Name: name(n.of), From: was, To: n.state, Inc: n.inc})
+		changes = append(changes, member.Change{ID: MemberID(n.of), Name: Name(n.of), From: was, To: n.state, Inc: n.inc})
 	}
 	return changes
 }
