--- a/decide/member/member_test.go
+++ b/decide/member/member_test.go
@@ -281,3 +281,78 @@
 		t.Fatalf("%d items are left, %d of them fresh", len(s.items), s.fresh)
 	}
 }
+
+// Whoever pings a member that has never heard of it is asked for its view: it may have been here before this one was.
+func TestAsksWhoIsNotKnown(t *testing.T) {
+	f, now := fleetOf(3)
+	now += 2 * sec
+	out, _ := f.Receive(now, addr(9), Message{Kind: Ping, Seq: 4, From: who(9).ID, Inc: 1, Instance: who(9).Instance})
+	if len(out) != 2 || out[0].Msg.Kind != Ack || out[1].Msg.Kind != Compare || out[1].ID != who(9).ID {
+		t.Fatalf("%+v", out)
+	}
+}
+
+// dead has a member held dead by this one's own judgement.
+func dead(t *testing.T, f *Fleet, now *int64, i int) {
+	t.Helper()
+	f.answer(now, 3*sec, i)
+	f.isTold(*now, 4, rumor(i, Suspect, 1, 4))
+	f.isTold(*now, 5, rumor(i, Suspect, 1, 5))
+	f.answer(now, 2*Least, i)
+	if s := f.Holds(who(i).ID); s != Dead {
+		t.Fatalf("%v", s)
+	}
+}
+
+// Who is dead by a member's own judgement comes back by an answer, and not by what others say; who is dead by the word of others
+// comes back by theirs.
+func TestDeadMustAnswer(t *testing.T) {
+	f, now := fleetOf(6)
+	dead(t, f, &now, 3)
+	now += sec
+	out, _ := f.isTold(now, 2, rumor(3, Alive, 2, 0))
+	if s := f.Holds(who(3).ID); s != Dead || len(out) != 1 || out[0].Msg.Kind != Ping || out[0].ID != who(3).ID {
+		t.Fatalf("%v, sent %+v", s, out)
+	}
+	back := Message{Kind: Ack, Seq: out[0].Msg.Seq, From: who(3).ID, Inc: 2, Instance: who(3).Instance}
+	if f.Receive(now+ms, addr(3), back); f.Holds(who(3).ID) != Alive {
+		t.Fatal("it has answered")
+	}
+	f.isTold(now, 2, rumor(6, Dead, 1, 0))
+	if f.isTold(now, 2, rumor(6, Alive, 2, 0)); f.Holds(who(6).ID) != Alive {
+		t.Fatal("dead by the word of others, and not alive by it")
+	}
+}
+
+// One that speaks, and holds this member dead, is apart as soon as this one fails to reach it, whatever others say.
+func TestApart(t *testing.T) {
+	f, now := fleetOf(6)
+	watched := f.subjects()[0]
+	for range 8 {
+		var i int
+		_, _ = fmt.Sscanf(watched.Name, "n%d", &i)
+		f.answer(&now, sec/2, i)
+		f.Receive(now, watched.Addr, Message{Kind: Gossip, From: watched.ID, Inc: 1, Instance: watched.Instance, You: Dead, YouInc: f.inc})
+	}
+	if watched.state != Dead {
+		t.Fatalf("%v", watched.state)
+	}
+}
+
+// What was suspected before a member was alone is no judgement of what is there after.
+func TestAloneBeginsAnew(t *testing.T) {
+	f, now := fleetOf(6)
+	f.answer(&now, 3*sec, 3)
+	f.isTold(now, 4, rumor(3, Suspect, 1, 4))
+	f.isTold(now, 5, rumor(3, Suspect, 1, 5))
+	f.answer(&now, sec/2, 3)
+	if s := f.Holds(who(3).ID); s != Suspect {
+		t.Fatalf("%v", s)
+	}
+	f.answer(&now, 5*sec, 2, 3, 4, 5, 6)
+	f.isTold(now, 2)
+	now += Step
+	if f.Tick(now); f.Holds(who(3).ID) == Dead {
+		t.Fatal("dead by a suspicion from before")
+	}
+}
