Give news and questions budgets of their own; look after peers only while there is something about them

Ruled out: comparisons of views (they were held back, too), who may judge (37 of 50 deaths were known to each). Now each has its own budget.

--- a/decide/member/member.go
+++ b/decide/member/member.go
@@ -58,11 +58,14 @@
 	failWeight   = 4
 	sweepAll     = 48
 
-	// Budget is how many bytes a second of news a member sends on average, Reserve how many it may have saved up: enough to
-	// tell of the death of most of a large fleet at once. Pings and their answers, some 900 a second, are sent whatever is left.
-	Budget  = 2048
-	Reserve = 24 << 10
-
+	// Bytes a second that a member sends on average, and how many it may have saved up, of news and of all else but pings and
+	// their answers, which are some 900 a second and are sent whatever is left. The reserve of news is enough to tell of the
+	// death of most of a large fleet at once; what asks and accuses has its own, or it would leave none then.
+	newsBudget, newsReserve   = 1536, 20 << 10
+	otherBudget, otherReserve = 1024, 12 << 10
+
+	tidyTime   = 500 * ms
+	listenTime = 150 * ms // between two counts of who is heard
 	gossipTime = 100 * ms
 	gossipTo   = 3  // members that news goes to at each gossipTime, besides going along with all else
 	freshSends = 4  // a news item makes packets of its own until it was sent so often
@@ -185,6 +188,7 @@
 	since   int64 // in this state
 	heard   int64 // anything from it
 	hears   bool  // see listen
+	busy    bool  // see watchOver
 	deaf    bool  // it held this member dead when it was heard last
 	apart   bool  // and that is not long ago
 	back    int64 // when it was last taken back, 0: never
@@ -229,22 +233,22 @@
 
 // Fleet is the fleet as one member sees it.
 type Fleet struct {
-	cfg    Config
-	rng    *rand.Rand
-	self   Self
-	inc    uint64
-	peers  map[ID]*peer
-	order  []*peer // by when they became known
-	rings  [Watchers][]*peer
-	hash   [Watchers]uint64
-	watch  []*peer // still to be pinged in this round
-	seq    uint32
-	relays []relayed
-	news   spreading
-	purse  float64 // bytes of news that may be sent now
-	digest uint64
-	sums   [Buckets]uint64
-	lost   map[uint32]lostPing // pings given up lately, whose answer may still come
+	cfg          Config
+	rng          *rand.Rand
+	self         Self
+	inc          uint64
+	peers        map[ID]*peer
+	order        []*peer // by when they became known
+	rings        [Watchers][]*peer
+	hash         [Watchers]uint64
+	watch        []*peer // still to be pinged in this round
+	seq          uint32
+	relays       []relayed
+	news         spreading
+	purse, other float64 // bytes of news, and of all else, that may be sent now
+	digest       uint64
+	sums         [Buckets]uint64
+	lost         map[uint32]lostPing // pings given up lately, whose answer may still come
 
 	ticked, heard       int64
 	turnAt, gossipAt    int64
@@ -257,6 +261,8 @@
 	sweeps              int     // pings of a sweep still to be sent
 	accusing            []Rumor // to be told to some
 	suspects            int
+	busy                []*peer
+	tidyAt, listenAt    int64
 	hears               int // members heard within hearTime, this one among them; confirms at most
 	superseded          bool
 	rivals              uint64 // the instance of a later process that was contradicted
@@ -279,7 +285,7 @@
 		cfg.MaxSize = MaxMembers
 	}
 	f := &Fleet{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Self.ID))), self: cfg.Self, inc: max(cfg.Inc, 1),
-		peers: map[ID]*peer{}, ticked: now, heard: now, turnAt: now, reviveAt: now + reviveTime, lost: map[uint32]lostPing{}, purse: Reserve}
+		peers: map[ID]*peer{}, ticked: now, heard: now, turnAt: now, reviveAt: now + reviveTime, lost: map[uint32]lostPing{}, purse: newsReserve, other: otherReserve}
 	f.hash = hashes(f.self.ID)
 	f.mix(f.self.ID, f.inc, Alive)
 	f.announce()
@@ -316,7 +322,8 @@
 	if now-f.ticked > pauseTime {
 		f.paused(now)
 	}
-	f.purse = min(f.purse+Budget*float64(now-f.ticked)/float64(sec), Reserve)
+	span := float64(now-f.ticked) / float64(sec)
+	f.purse, f.other = min(f.purse+newsBudget*span, newsReserve), min(f.other+otherBudget*span, otherReserve)
 	f.ticked = now
 	f.listen(now)
 	if was := f.lonely; was || f.alone(now) {
@@ -332,13 +339,17 @@
 	}
 	f.gossip(now)
 	f.tidy(now)
-	f.share.note(now, f.count(Alive)+f.count(Suspect)+1, len(f.order)+1)
+	f.share.note(now, f.Live(), len(f.order)+1)
 	return f.take()
 }
 
 // listen counts who can say what it fails to reach: those that are heard, and do not hold this member dead. Whether it reaches
 // them does not count: the fault may be its own.
 func (f *Fleet) listen(now int64) {
+	if now < f.listenAt {
+		return
+	}
+	f.listenAt = now + listenTime
 	f.hears, f.suspects = 0, 0
 	for _, p := range f.order {
 		if p.state == Suspect {
@@ -483,22 +494,29 @@
 	f.sendAs(to, id, p, m)
 }
 
-// sendAs sends a message to whomever; beyond the budget nothing but pings and answers, without news.
+// sendAs sends a message to whomever; beyond the budgets nothing but pings and answers, without news.
 func (f *Fleet) sendAs(to netip.AddrPort, id ID, p *peer, m Message) {
-	if m.Kind != Ping && m.Kind != Ack {
-		if f.room() == 0 {
+	news := m.Kind == Gossip && len(m.Rumors) == 0
+	if cost := messageBytes + 4*float64(len(m.Sums)); news {
+		f.purse -= cost
+	} else if m.Kind != Ping && m.Kind != Ack {
+		if f.other <= 0 {
 			f.Saved++
 			return
 		}
-		f.purse -= messageBytes + 4*float64(len(m.Sums))
+		for i := range m.Rumors {
+			cost += float64(rumorBytes(&m.Rumors[i]))
+		}
+		f.other -= cost
 	}
 	m.From, m.Inc, m.Instance, m.Digest = f.self.ID, f.inc, f.self.Instance, f.digest
 	// Who may be gone is told nothing more: what is sent there would count as spread.
 	if room := MaxRumors - len(m.Rumors); m.Kind != Entries && room > 0 && (p == nil || p.state == Alive && !p.mine && f.ticked-p.heard < newsTime) {
-		m.Rumors = append(m.Rumors, f.news.pick(min(f.room(), roomInMessage), room, f.sends())...)
-	}
-	for i := range m.Rumors {
-		f.purse -= float64(rumorBytes(&m.Rumors[i]))
+		more := f.news.pick(min(f.room(), roomInMessage), room, f.sends())
+		for i := range more {
+			f.purse -= float64(rumorBytes(&more[i]))
+		}
+		m.Rumors = append(m.Rumors, more...)
 	}
 	f.out = append(f.out, Send{to, id, m})
 }
--- a/decide/member/member_test.go
+++ b/decide/member/member_test.go
@@ -226,10 +226,10 @@
 func TestBudget(t *testing.T) {
 	f, now := fleetOf(6)
 	f.answer(&now, 60*sec)
-	if f.room() != Reserve {
-		t.Fatalf("%d bytes saved up", f.room())
+	if f.purse != newsReserve || f.other != otherReserve {
+		t.Fatalf("%v and %v bytes saved up", f.purse, f.other)
 	}
-	f.purse = -10 * Budget
+	f.purse, f.other = -10*newsBudget, -10*otherBudget
 	saved := f.Saved
 	out, _ := f.isTold(now, 2, rumor(3, Alive, 7, 0))
 	f.Receive(now, addr(2), Message{Kind: Compare, From: who(2).ID, Inc: 1, Instance: who(2).Instance, Sums: make([]uint32, Buckets)})
--- a/decide/member/rumor.go
+++ b/decide/member/rumor.go
@@ -137,6 +137,7 @@
 	}
 	if r.By != 0 && !slices.ContainsFunc(p.accusers, func(a accuser) bool { return a.id == r.By }) {
 		p.accusers = append(p.accusers, accuser{r.By, since})
+		f.watchOver(p)
 	}
 	if r.By == 0 {
 		f.suspect(now, now-hearsay, p)
@@ -156,6 +157,8 @@
 
 func (f *Fleet) suspect(now, since int64, p *peer) {
 	p.state, p.since, p.suspectAt, p.accusers = Suspect, now, since, nil
+	f.suspects++
+	f.watchOver(p)
 	f.changes = append(f.changes, Change{p.ID, p.Name, Alive, Suspect, p.inc})
 	r := f.accusation(p)
 	r.By = 0
@@ -216,7 +219,7 @@
 	}
 	f.rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	for range syncParts {
-		part := out[:fitting(out, f.room())]
+		part := out[:fitting(out, max(int(f.other), 0))]
 		if out = out[len(part):]; len(part) == 0 {
 			return
 		}
--- a/decide/member/spread.go
+++ b/decide/member/spread.go
@@ -124,7 +124,7 @@
 // those lost. Whoever it does not reach all the same finds that views differ.
 func (f *Fleet) sends() int { return 3 + bits.Len(uint(len(f.rings[0])+1)) }
 
-// room is how many bytes may be sent now beyond pings and answers.
+// room is how many bytes of news may be sent now.
 func (f *Fleet) room() int { return max(int(f.purse), 0) }
 
 // gossip sends fresh news on its own, mostly to those who were heard lately: after a crash of many most of it would be lost
--- a/decide/member/watch.go
+++ b/decide/member/watch.go
@@ -22,8 +22,13 @@
 
 // turn pings the next of those that are watched. What is suspected is asked more often, so that it can say that it lives.
 func (f *Fleet) turn(now int64) {
-	for _, p := range f.order {
-		f.follow(now, p)
+	busy := f.busy
+	f.busy = nil
+	for _, p := range busy {
+		p.busy = false
+		if f.follow(now, p); p.probe != nil || p.state == Suspect || p.againAt > 0 || len(p.accusers) > 0 {
+			f.watchOver(p)
+		}
 	}
 	f.tellAccused()
 	f.sweep(now)
@@ -41,6 +46,14 @@
 	}
 }
 
+// watchOver has a peer looked after at each Tick: there is something about it.
+func (f *Fleet) watchOver(p *peer) {
+	if !p.busy {
+		p.busy = true
+		f.busy = append(f.busy, p)
+	}
+}
+
 // ping begins a probe, unless one is under way or none is due.
 func (f *Fleet) ping(now int64, p *peer) {
 	if p.probe != nil || p.state != Alive && p.state != Suspect {
@@ -48,6 +61,7 @@
 	}
 	f.seq += tries
 	p.probe, p.triedAt = &probe{seq: f.seq, began: now}, now
+	f.watchOver(p)
 	f.question(now, p)
 }
 
@@ -207,6 +221,9 @@
 	if p.hears {
 		able--
 	}
+	if len(f.rings[0]) > 1 { // besides the peer there is somebody who has to say so, too, though he is not heard now
+		able = max(able, 2)
+	}
 	return min(confirms, able)
 }
 
@@ -284,6 +301,10 @@
 
 // tidy forgets what is over.
 func (f *Fleet) tidy(now int64) {
+	if now < f.tidyAt {
+		return
+	}
+	f.tidyAt = now + tidyTime
 	f.relays = slices.DeleteFunc(f.relays, func(r relayed) bool { return now >= r.until })
 	for seq, l := range f.lost {
 		if now-l.at > 4*probeMost {
