Have a new process of a member take its place at once, wherever the kernel sends the datagrams

While an old and a new process are bound to one address, SO_REUSEPORT deals out datagrams by their source; with two others all of theirs reach the old one in a quarter of the cases, and the new one is heard but hears nobody. Ruled out: the decider (superseded correctly in its own test), the rig's links (one socket for each, by design).

--- a/decide/member/view.go
+++ b/decide/member/view.go
@@ -43,6 +43,9 @@
 // Inc is this member's incarnation.
 func (f *Fleet) Inc() uint64 { return f.inc }
 
+// Supersede has this member know that a later process has its name.
+func (f *Fleet) Supersede() { f.superseded = true }
+
 // Superseded tells that a later process has this member's name, and is the member now.
 func (f *Fleet) Superseded() bool { return f.superseded }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -24,6 +24,11 @@
 
 	// senders are remembered for what they have sent.
 	maxSenders = 2 * member.MaxMembers
+	// relieveTimes is how often a process before this one is asked for: each question has one chance in two to reach it, if
+	// there is one.
+	relieveTimes = 20
+	relieveEvery = 100_000
+
 	// helloEvery is how often one address is told which process this is.
 	helloEvery = 200_000
 )
@@ -51,7 +56,10 @@
 	self  member.Self
 	fleet *member.Fleet
 	sock  *loop.Datagrams
-	timer loop.Ref
+	// asking is the socket at which a process before this one is asked for.
+	asking *loop.Datagrams
+	closed bool
+	timer  loop.Ref
 
 	count    uint64
 	plain    []byte
@@ -108,6 +116,7 @@
 	h.fleet = member.New(member.Config{Self: h.self, Inc: uint64(l.Now() / 1000), Seeds: cfg.Seeds, Seed: cfg.Seed}, l.Now())
 	log.WithFields(logrus.Fields{logs.Listen: sock.Addr(), logs.Member: cfg.Name}).Info("in the fleet")
 	h.tick()
+	h.relieve(relieveTimes)
 	return h, nil
 }
 
@@ -193,7 +202,11 @@
 		h.counts.Malformed++
 		return
 	}
-	if m.From != h.self.ID && !h.fresh(from, e, &m) {
+	if m.From == h.self.ID {
+		h.namesake(from, e, &m)
+		return
+	}
+	if !h.fresh(from, e, &m) {
 		return
 	}
 	h.heard(from, e, m.From)
@@ -279,8 +292,66 @@
 	h.sock.Send(from, h.sealed)
 }
 
+// namesake takes what another process of this name says. A later one, which has been told which process this is, takes its
+// place; all others are told.
+func (h *Host) namesake(from netip.AddrPort, e packet.Envelope, m *member.Message) {
+	switch {
+	case m.Instance == h.self.Instance: // what this process asks itself, see relieve
+	case m.Kind != packet.Hello:
+		h.carry(h.fleet.Receive(h.l.Now(), from, *m))
+	case e.To != h.self.Instance:
+		h.hello(from, m.Instance)
+	case m.Instance > h.self.Instance:
+		h.fleet.Supersede()
+	}
+}
+
+// hello tells a namesake which process this is, from the member's own socket.
+func (h *Host) hello(to netip.AddrPort, for_ uint64) {
+	h.sock.Send(to, h.greeting(for_))
+}
+
+func (h *Host) greeting(for_ uint64) []byte {
+	h.count++
+	h.plain = packet.Encode(h.plain[:0], packet.Envelope{To: for_, Count: h.count, Addr: h.self.Addr},
+		&member.Message{Kind: packet.Hello, From: h.self.ID, Instance: h.self.Instance})
+	h.sealed = h.cfg.Ring.Seal(h.sealed[:0], h.plain)
+	return h.sealed
+}
+
+// relieve asks for a process before this one at the same address, as there is in an upgrade. While both are bound, the kernel
+// deals out datagrams by where they come from, and the others' may all reach the one before: so it is asked from a port of
+// its own each time, until one question has reached it; once it has said which process it is, it is told to yield.
+func (h *Host) relieve(left int) {
+	if h.asking != nil {
+		h.asking.Close()
+		h.asking = nil
+	}
+	if left == 0 || h.closed || h.fleet.Superseded() {
+		return
+	}
+	own := h.sock.Addr()
+	sock, err := h.l.ListenDatagrams(netip.AddrPortFrom(own.Addr(), 0), func(from netip.AddrPort, b []byte) {
+		plain, err := h.cfg.Ring.Open(b)
+		if err != nil {
+			return
+		}
+		if _, m, err := packet.Decode(plain); err == nil && m.Kind == packet.Hello && m.From == h.self.ID && m.Instance < h.self.Instance {
+			h.asking.Send(from, h.greeting(m.Instance))
+		}
+	})
+	if err != nil {
+		return // without a descriptor to spare the one before stays until it is stopped
+	}
+	h.asking = sock
+	sock.Send(own, h.greeting(0))
+	h.l.After(relieveEvery, func() { h.relieve(left - 1) })
+}
+
 // Close leaves without a word.
 func (h *Host) Close() {
 	h.l.Cancel(&h.timer)
+	h.closed = true
+	h.relieve(0)
 	h.sock.Close()
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -59,13 +59,18 @@
 }
 
 func (s *stage) host(name string, secret byte, seeds ...netip.AddrPort) (h *Host) {
+	s.t.Helper()
+	return s.hostAt(netip.MustParseAddrPort("127.0.0.1:0"), name, secret, seeds...)
+}
+
+func (s *stage) hostAt(at netip.AddrPort, name string, secret byte, seeds ...netip.AddrPort) (h *Host) {
 	s.t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	var err error
 	r := ring(s.t, secret)
 	s.do(func() {
-		h, err = Start(s.l, Config{Name: name, Listen: netip.MustParseAddrPort("127.0.0.1:0"), Seeds: seeds, Ring: r, Seed: uint64(len(name))}, log)
+		h, err = Start(s.l, Config{Name: name, Listen: at, Seeds: seeds, Ring: r, Seed: uint64(len(name))}, log)
 	})
 	if err != nil {
 		s.t.Fatal(err)
@@ -118,6 +123,22 @@
 	s.await("one that leaves says so", func() bool { return sees(a, "b", member.Left) && sees(c, "b", member.Left) })
 }
 
+// A new process at the address of the one before takes its place, wherever the kernel sends what others say.
+func TestTakesOver(t *testing.T) {
+	s := newStage(t)
+	a := s.host("a", 1)
+	b := s.host("b", 1, a.Addr())
+	s.await("both know each other", func() bool { return sees(a, "b", member.Alive) && sees(b, "a", member.Alive) })
+	next := s.hostAt(b.Addr(), "b", 1, a.Addr())
+	s.await("the one before yields", func() bool { return b.fleet.Superseded() })
+	s.await("the new one is the member", func() bool { return sees(next, "a", member.Alive) && sees(a, "b", member.Alive) })
+	s.do(func() {
+		if next.fleet.Superseded() {
+			t.Error("the later one has yielded")
+		}
+	})
+}
+
 // A key that is withdrawn shuts out who has no other; with the new one it is heard again.
 func TestRekey(t *testing.T) {
 	s := newStage(t)
