Let a member that was held dead drop its own verdicts and ask whom it held dead

Its 99 deaths, found while nobody heard it, were still news and went round a second after it was taken back; and it asked two of the dead a second, so that its view differed for 8 s.

--- a/decide/member/member.go
+++ b/decide/member/member.go
@@ -43,6 +43,7 @@
 	confirms  = 3
 	hearTime  = 1200 * ms // who was heard within this can say what it fails to reach
 	hearsay   = 300 * ms  // how long others will have suspected one before this member is told
+	trustTime = 10 * sec  // until the word of one taken back counts, if views do not agree before
 	newsTime  = 2500 * ms // who was not heard for so long is told no news along with a ping
 	backdate  = 1 * sec   // a suspicion counts from no earlier than this before it
 	ownTry    = 4 * sec   // whoever has held one suspected for so long asks by himself
@@ -182,17 +183,18 @@
 // peer is another member.
 type peer struct {
 	Self
-	hash    [Watchers]uint64
-	state   State
-	inc     uint64
-	since   int64 // in this state
-	heard   int64 // anything from it
-	hears   bool  // see listen
-	busy    bool  // see watchOver
-	deaf    bool  // it held this member dead when it was heard last
-	apart   bool  // and that is not long ago
-	back    int64 // when it was last taken back, 0: never
-	differs int64 // since its view has differed from this one's, 0 while it does not
+	hash      [Watchers]uint64
+	state     State
+	inc       uint64
+	since     int64 // in this state
+	heard     int64 // anything from it
+	hears     bool  // see listen
+	answersAt int64 // when it answered a ping last
+	busy      bool  // see watchOver
+	deaf      bool  // it held this member dead when it was heard last
+	apart     bool  // and that is not long ago
+	back      int64 // when it was last taken back, 0: never
+	differs   int64 // since its view has differed from this one's, 0 while it does not
 
 	accusers  []accuser // before it is suspected
 	suspectAt int64     // from when on its suspicion counts
@@ -260,6 +262,7 @@
 	slow                float64 // what most answers take at most, microseconds
 	sweeps              int     // pings of a sweep still to be sent
 	accusing            []Rumor // to be told to some
+	asking              []*peer // held dead, and to be asked since this member was itself
 	suspects            int
 	busy                []*peer
 	tidyAt, listenAt    int64
--- a/decide/member/member_test.go
+++ b/decide/member/member_test.go
@@ -364,3 +364,24 @@
 		t.Fatal("dead by a suspicion from before")
 	}
 }
+
+// A member that was held dead itself does not spread whom it held dead meanwhile, and asks them.
+func TestReturned(t *testing.T) {
+	f, now := fleetOf(6)
+	dead(t, f, &now, 3)
+	if f.news.items[who(3).ID] == nil {
+		t.Fatal("a death is no news")
+	}
+	f.Receive(now, addr(2), Message{Kind: Gossip, From: who(2).ID, Inc: 1, Instance: who(2).Instance, You: Dead, YouInc: f.inc})
+	if it := f.news.items[who(3).ID]; it != nil {
+		t.Fatalf("still spread: %+v", it)
+	}
+	now += Step
+	out, _ := f.Tick(now)
+	for _, s := range out {
+		if s.ID == who(3).ID && s.Msg.Kind == Ping {
+			return
+		}
+	}
+	t.Fatal("whom it holds dead is not asked")
+}
--- a/decide/member/receive.go
+++ b/decide/member/receive.go
@@ -24,12 +24,15 @@
 	}
 	if m.You > Alive && m.YouInc >= f.inc && !f.leaving {
 		f.rise(m.YouInc)
+		if m.You == Dead {
+			f.returned(now)
+		}
 	} else if m.You == Alive && m.YouInc > f.inc && !f.leaving {
 		f.rise(m.YouInc)
 	}
-	// What those say whom this member holds dead, or has just taken back, is old, but for what they say of themselves: it would
-	// set a side of a healed cut against its own.
-	trusted := p == nil || p.state < Dead && (p.back == 0 || now-p.back >= differTime)
+	// What those say whom this member holds dead, or has taken back and not agreed with since, is old, but for what they say of
+	// themselves: it would set a side of a healed cut against its own.
+	trusted := p == nil || p.state < Dead && (p.back == 0 || now-p.back >= trustTime)
 	for _, r := range m.Rumors {
 		if trusted || r.ID == m.From || r.ID == f.self.ID || r.State == Alive {
 			f.hear(now, r)
--- a/decide/member/rumor.go
+++ b/decide/member/rumor.go
@@ -9,7 +9,7 @@
 // hear takes news, from whomever, and passes on what is new.
 func (f *Fleet) hear(now int64, r Rumor) {
 	if r.ID == f.self.ID {
-		f.hearOwn(r)
+		f.hearOwn(now, r)
 		return
 	}
 	p := f.peers[r.ID]
@@ -60,11 +60,13 @@
 }
 
 // hearOwn takes what is said of this member itself.
-func (f *Fleet) hearOwn(r Rumor) {
+func (f *Fleet) hearOwn(now int64, r Rumor) {
 	switch {
 	case f.leaving:
 	case r.State != Alive && r.Inc >= f.inc:
-		f.rise(r.Inc)
+		if f.rise(r.Inc); r.State == Dead {
+			f.returned(now)
+		}
 	case r.State == Alive && r.Instance != f.self.Instance && r.Instance != 0:
 		if r.Inc >= f.inc || r.Instance > f.self.Instance {
 			f.rival(r.Instance, r.Inc)
@@ -181,7 +183,7 @@
 // compare has views compared that have differed for a while.
 func (f *Fleet) compare(now int64, p *peer, digest uint64) {
 	if digest == f.digest {
-		p.differs = 0
+		p.differs, p.back = 0, 0
 		f.joined = true
 		return
 	}
--- a/decide/member/spread.go
+++ b/decide/member/spread.go
@@ -80,6 +80,16 @@
 	s.queues[it.sent] = append(s.queues[it.sent], it.ID)
 }
 
+// drop ends the spreading of some news.
+func (s *spreading) drop(old func(*Rumor) bool) {
+	for id, it := range s.items {
+		if old(&it.Rumor) {
+			s.count(it, -1)
+			delete(s.items, id)
+		}
+	}
+}
+
 // heard counts news that has come back from another: it needs to be told to fewer.
 func (s *spreading) heard(r Rumor, most int) {
 	if it := s.items[r.ID]; it != nil && it.Inc == r.Inc && it.State == r.State {
@@ -127,8 +137,9 @@
 // room is how many bytes of news may be sent now.
 func (f *Fleet) room() int { return max(int(f.purse), 0) }
 
-// gossip sends fresh news on its own, mostly to those who were heard lately: after a crash of many most of it would be lost
-// elsewhere. Who is suspected is asked, and so told, all the same.
+// gossip sends fresh news on its own: one to anybody, so that those who know each other well are no closed circle, one to
+// whoever was heard lately, since after a crash of many most others are gone, and one to whoever has answered lately, since in a cut
+// one way those who are heard may hear nothing. Who is suspected is asked, and so told, all the same.
 func (f *Fleet) gossip(now int64) {
 	if now < f.gossipAt {
 		return
@@ -138,13 +149,15 @@
 		return
 	}
 	for i := range gossipTo {
-		to := f.some(1, func(p *peer) bool { return p.hears && !p.mine })
-		if i == 0 || len(to) == 0 { // and anybody, so that those who hear each other are no closed circle
-			to = f.some(1, func(p *peer) bool { return p.state == Alive && !p.mine })
-		}
-		if f.news.fresh == 0 || len(to) == 0 {
+		to := f.some(1, func(p *peer) bool {
+			return p.state == Alive && !p.mine && (i == 0 || i == 1 && p.hears || now-p.answersAt < newsTime)
+		})
+		if f.news.fresh == 0 {
 			return
 		}
+		if len(to) == 0 {
+			continue
+		}
 		f.send(to[0].Addr, to[0], Message{Kind: Gossip})
 	}
 }
--- a/decide/member/watch.go
+++ b/decide/member/watch.go
@@ -253,6 +253,7 @@
 	if q := p.probe; q != nil && q.seq == seq-seq%tries {
 		if nth := int(seq % tries); direct && nth < q.count {
 			p.answered++
+			p.answersAt = now
 			f.failing -= f.failing / failWeight
 			took := float64(now - q.sent[nth])
 			if p.rtt == 0 {
@@ -290,6 +291,7 @@
 
 // revive asks one of the dead: where a cut has healed, it learns what it is held to be, and says otherwise.
 func (f *Fleet) revive(now int64) {
+	f.askDead(now)
 	if now < f.reviveAt {
 		return
 	}
@@ -299,6 +301,28 @@
 	}
 }
 
+// returned is what a member does that was held dead, and is there: what it found out meanwhile about others is as likely its own
+// fault, so it is not spread, and all whom it holds dead are asked, some at each Tick.
+func (f *Fleet) returned(now int64) {
+	f.news.drop(func(r *Rumor) bool { return r.State == Suspect || r.State == Dead })
+	f.asking = f.asking[:0]
+	for _, p := range f.order {
+		if p.state == Dead {
+			f.asking = append(f.asking, p)
+		}
+	}
+}
+
+func (f *Fleet) askDead(now int64) {
+	n := min(len(f.asking), sweepMost)
+	for _, p := range f.asking[:n] {
+		if p.state == Dead {
+			f.ask(now, p, p.Addr)
+		}
+	}
+	f.asking = f.asking[n:]
+}
+
 // tidy forgets what is over.
 func (f *Fleet) tidy(now int64) {
 	if now < f.tidyAt {
