--- a/decide/member/member_test.go
+++ b/decide/member/member_test.go
@@ -369,11 +369,12 @@
 func TestReturned(t *testing.T) {
 	f, now := fleetOf(6)
 	dead(t, f, &now, 3)
-	if f.news.items[who(3).ID] == nil {
+	f.isTold(now, 4, rumor(6, Dead, 1, 0))
+	if f.news.items[who(6).ID] == nil {
 		t.Fatal("a death is no news")
 	}
 	f.Receive(now, addr(2), Message{Kind: Gossip, From: who(2).ID, Inc: 1, Instance: who(2).Instance, You: Dead, YouInc: f.inc})
-	if it := f.news.items[who(3).ID]; it != nil {
+	if it := f.news.items[who(6).ID]; it != nil {
 		t.Fatalf("still spread: %+v", it)
 	}
 	now += Step
