--- a/Makefile
+++ b/Makefile
@@ -33,9 +33,9 @@
 		done; \
 	done
 
-# Members of a fleet in virtual time: every script with so many seeds. A play that breaks a bound is told with the one command
+# Members of a fleet in virtual time: every script with so many seeds, some 10,000 plays. A play that breaks a bound is told with the one command
 # that plays it again.
-SOAK ?= 1000
+SOAK ?= 1112
 soak: build
 	bin/spurlab virtual --repeat $(SOAK) --jobs $$(nproc)
 
--- a/lab/virtual/virtual_test.go
+++ b/lab/virtual/virtual_test.go
@@ -13,7 +13,7 @@
 func seeds(t *testing.T) uint64 {
 	n, err := strconv.ParseUint(os.Getenv("SPURSPREAD_SOAK"), 10, 32)
 	if err != nil {
-		n = 20
+		n = 23
 	}
 	t.Logf("%d seeds", n)
 	return n
