--- a/decide/member/member.go
+++ b/decide/member/member.go
@@ -272,7 +272,7 @@
 	told                uint64 // under this incarnation
 	out                 []Send
 	changes             []Change
-	Pauses, Accusations int // counted for the log
+	Pauses, Accusations int // so far
 	Saved               int // messages not sent, for want of budget
 	share               share
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -86,6 +86,7 @@
 type Counts struct {
 	Sent, SentBytes, Taken, Saved     int64 // Saved: not sent, for want of budget
 	Malformed, Forged, Replayed, Lost int64 // Lost: not opened, for want of time
+	Pauses, Accusations               int64 // of this process; of others by it
 }
 
 // NameID is the id that stands for a member's name.
@@ -134,7 +135,7 @@
 
 // Counts are what has happened so far.
 func (h *Host) Counts() Counts {
-	h.counts.Saved = int64(h.fleet.Saved)
+	h.counts.Saved, h.counts.Pauses, h.counts.Accusations = int64(h.fleet.Saved), int64(h.fleet.Pauses), int64(h.fleet.Accusations)
 	return h.counts
 }
 
@@ -282,14 +283,10 @@
 }
 
 func (h *Host) answerHello(from netip.AddrPort, m *member.Message) {
-	h.count++
-	h.plain = packet.Encode(h.plain[:0], packet.Envelope{Count: h.count, Addr: h.self.Addr},
-		&member.Message{Kind: packet.Hello, From: h.self.ID, Instance: h.self.Instance})
 	if at, ok := h.reach[m.From]; ok {
 		from = at
 	}
-	h.sealed = h.cfg.Ring.Seal(h.sealed[:0], h.plain)
-	h.sock.Send(from, h.sealed)
+	h.sock.Send(from, h.greeting(0))
 }
 
 // namesake takes what another process of this name says. A later one, which has been told which process this is, takes its
@@ -300,17 +297,13 @@
 	case m.Kind != packet.Hello:
 		h.carry(h.fleet.Receive(h.l.Now(), from, *m))
 	case e.To != h.self.Instance:
-		h.hello(from, m.Instance)
+		h.sock.Send(from, h.greeting(m.Instance))
 	case m.Instance > h.self.Instance:
 		h.fleet.Supersede()
 	}
 }
 
-// hello tells a namesake which process this is, from the member's own socket.
-func (h *Host) hello(to netip.AddrPort, for_ uint64) {
-	h.sock.Send(to, h.greeting(for_))
-}
-
+// greeting says which process of its name this is, to one of that instance where it is known.
 func (h *Host) greeting(for_ uint64) []byte {
 	h.count++
 	h.plain = packet.Encode(h.plain[:0], packet.Envelope{To: for_, Count: h.count, Addr: h.self.Addr},
--- a/lab/members/cost.go
+++ b/lab/members/cost.go
@@ -6,7 +6,6 @@
 	"net"
 	"os"
 	"path/filepath"
-	"strings"
 	"time"
 
 	"spurspread/lab/echo"
@@ -14,6 +13,7 @@
 	"spurspread/lab/procs"
 	"spurspread/lab/pump"
 	"spurspread/lab/report"
+	"spurspread/lab/world"
 )
 
 const (
@@ -63,7 +63,7 @@
 	}
 	log("idle for %v", idleTime)
 	time.Sleep(idleTime)
-	idle := [2]float64{resident(measured[0].Pid()), resident(measured[1].Pid())}
+	idle := [2]float64{world.Resident(measured[0].Pid()) / (1 << 20), world.Resident(measured[1].Pid()) / (1 << 20)}
 	cpu := pump.CPUTime(measured[1].Pid())
 	r.Figures["idle_cpu_ms_per_s"] = float64(cpu.Milliseconds()) / idleTime.Seconds()
 	r.Figures["idle_mb"], r.Figures["idle_mb_off"], r.Figures["idle_mb_more"] = idle[1], idle[0], idle[1]-idle[0]
@@ -97,17 +97,3 @@
 	}
 	return nil
 }
-
-// resident is a process's memory in MB, as the kernel has it; 0 where it can't be told.
-func resident(pid int) float64 {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	_, rest, _ := strings.Cut(string(text), "VmRSS:")
-	var kb float64
-	if _, err := fmt.Sscan(rest, &kb); err != nil {
-		return 0
-	}
-	return kb / 1024
-}
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -433,9 +433,12 @@
 	return b.most[field]
 }
 
-// Resident is its resident memory, in bytes, as the kernel has it; 0 where it can't be told.
-func (b *Balancer) Resident() float64 {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", b.Pid()))
+// Resident is its resident memory, in bytes.
+func (b *Balancer) Resident() float64 { return Resident(b.Pid()) }
+
+// Resident is a process's resident memory, in bytes, as the kernel has it; 0 where it can't be told.
+func Resident(pid int) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0
 	}
