--- a/decide/member/member.go
+++ b/decide/member/member.go
@@ -2,9 +2,10 @@
 // and since when, as one member sees it. It is handed time and messages and says what to send; it has no sockets, no clock
 // and no randomness but its seed, and all that it holds is bounded.
 //
-// The invariant: a member is held dead only by those who could not reach it themselves at the end of a suspicion of at
-// least Least, or who were told so, and only while two others could not reach it either, where there are two; what a member
-// says of itself under a newer incarnation always stands over what others say of an older one.
+// The invariant: a member is held dead only by those who could not reach it themselves, at the end of a suspicion of at least
+// Least that three declared, or as many as there are, or while it speaks and holds this one dead; and by those who were told
+// so. What a member says of itself under a newer incarnation always stands over what others say of an older one, but whoever
+// held it dead by its own judgement has it answer first.
 package member
 
 import (
