Judge repeats in one module, ask again at the moment of sending, end connections plainly

From reading the code: at the end of a planned stop moveStanding answered every waiting request BUSY, whatever its class and whether an attempt may have run; a first line went out on a connection that came up after its client had left, after its target was listed as draining or after a keyed window; a stop closed resting connections over unread bytes; an indented object on a watch was read as one object a line.

- decide/repeat says whether, where and until when a request may be sent again, and what its client may be told; logic asks it, and the relay for requests that the module does not know.
Send.Within bounds the writing.
- logic.Expire has the module answer at once; the relay's stop and its overdue timer use it.
- hop.mayWrite looks once more before the first line: client, list, window.
Listed recalls what is not written.
- door.expire, Relay.shut and dismiss: what has come is answered, then a plain end.
- route: an object on a watch may span lines.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -185,6 +185,9 @@
 // Pending tells how many bytes wait for the kernel to take them.
 func (c *Conn) Pending() int { return len(c.pending) }
 
+// Broken tells that a write failed: what that call was given, and what was pending, has not been sent.
+func (c *Conn) Broken() bool { return c.failed != nil }
+
 // CloseWrite ends the sending side once all that is pending is out; the peer sees a plain end.
 func (c *Conn) CloseWrite() {
 	if c.fd < 0 || c.closing {
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -16,7 +16,7 @@
 	headTime   = 2 * sec   // for a first line to come whole: a client is owed an answer or an end within 3 s
 	pingTime   = 60 * sec  // between the pings of a front
 	lingerTime = 800 * ms  // for a client to take its answer and close
-	maxDiscard = 256 << 10 // bytes read and dropped of a client that has its answer; one that sends more is cut off
+	maxDiscard = 256 << 10 // bytes read and dropped of a client that has its answer; what it sends beyond is not read
 )
 
 // door is a client connection at the ingress: before its first line, while a session has it, and after its last answer.
@@ -46,7 +46,7 @@
 	}
 	d.conn = conn
 	r.room.enter(d)
-	d.timer = r.l.After(headTime, d.close)
+	d.timer = r.l.After(headTime, d.expire)
 	d.Readable(conn) // the line has mostly come with the connection
 }
 
@@ -75,8 +75,8 @@
 			d.mux.readable()
 			return
 		}
-		if d.closed {
-			return
+		if d.closed || d.dropped > maxDiscard {
+			return // in the last case it is left alone until its time is up: a close now would destroy its answer
 		}
 		n, err := d.conn.Read(d.r.scratch)
 		if errors.Is(err, loop.ErrAgain) {
@@ -88,8 +88,8 @@
 		}
 		if !d.ending {
 			d.begin(d.r.scratch[:n])
-		} else if d.dropped += n; d.dropped > maxDiscard {
-			d.close()
+		} else {
+			d.dropped += n
 		}
 	}
 	d.r.l.After(0, func() { d.Readable(d.conn) })
@@ -166,13 +166,26 @@
 }
 
 // arm has it closed after a span.
-func (d *door) arm(span loop.Micros) { d.armFor(span, d.close) }
+func (d *door) arm(span loop.Micros) { d.armFor(span, d.expire) }
 
 func (d *door) armFor(span loop.Micros, due func()) {
 	d.r.l.Cancel(&d.timer)
 	d.timer = d.r.l.After(span, due)
 }
 
+// expire ends a connection that has asked nothing in time. What has come by now, unread behind this very event, still
+// counts; after the end nothing does: what comes then is dropped, and the client sees a plain end, not a reset.
+func (d *door) expire() {
+	if d.Readable(d.conn); d.closed || d.ending || d.session != nil || d.mux != nil {
+		return
+	}
+	if len(d.head) > 0 {
+		d.fail() // it has begun to ask
+		return
+	}
+	d.end()
+}
+
 func (d *door) close() {
 	if d.closed {
 		return
@@ -238,7 +251,7 @@
 	d.r.ending++
 	d.r.room.enter(d)
 	d.conn.CloseWrite()
-	d.arm(lingerTime)
+	d.armFor(lingerTime, d.close)
 	if d.left && d.conn.Pending() == 0 {
 		d.close()
 	}
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -22,6 +22,7 @@
 	on       bool // clients are moved away and fronts are told no
 	stopping bool // once they are, the loop ends
 	handing  bool // another process listens on the same port and takes what is new
+	shut     bool // nobody can connect here any more
 	began    loop.Micros
 	round    int     // counts drains, so that what a drain taken back had planned does nothing
 	passer   *passer // to a successor that takes standing connections
@@ -86,7 +87,7 @@
 	r.log.WithField(logs.Standing, r.sessions.Len()).Info("draining")
 	r.startDrain()
 	r.drain.stopping, r.drain.handing = true, true
-	r.ingress.Shut()
+	r.shut()
 	r.log.Info("handed over: the successor takes new clients")
 	r.pass(path, pid)
 	r.l.After(drainLook, r.drained)
@@ -104,7 +105,7 @@
 	r.drain = drain{on: true, began: r.l.Now(), round: r.drain.round + 1}
 	for _, s := range r.sessions.All {
 		if s.phase == resuming {
-			s.shed(shedHold)
+			s.giveBack()
 		}
 	}
 }
@@ -134,8 +135,7 @@
 		}
 		for _, s := range r.sessions.All {
 			if s.phase == asked {
-				s.shed(shedHold)
-				s.withdraw()
+				s.expire()
 				continue
 			}
 			s.leave(logic.Cancelled, true)
@@ -144,9 +144,12 @@
 }
 
 // moveAt is when the i-th of n that stand is moved, where all are to be within the span: spread over its second half. Until
-// then each is served; and where balancers are restarted one after another, the one before this may still be away.
+// then each is served; and where balancers are restarted one after another, the one before this may still be away. The
+// last is told early enough for a line that is under way then to end before the loop does.
 func moveAt(span loop.Micros, i, n int) loop.Micros {
-	return max(drainFirst, span/2) + span/2*loop.Micros(i)/loop.Micros(n)
+	last := max(span-(moveTime-drainRoom), drainFirst)
+	first := min(max(drainFirst, span/2), last)
+	return first + (last-first)*loop.Micros(i)/loop.Micros(n)
 }
 
 // shedding tells whether a new request is to be refused: all while stopping, unless handed over; a lame duck, and one
@@ -176,11 +179,36 @@
 		for m := range r.muxes {
 			m.goodbye()
 		}
+		r.dismiss()
+	}
+	timeUp := spent >= r.longest()+drainRoom
+	if timeUp || spent >= drainLeast && r.sessions.Len()+len(r.muxes) == 0 {
+		r.shut()
 	}
-	if spent >= drainLeast && r.sessions.Len()+r.ending+len(r.muxes) == 0 || spent >= r.longest()+drainRoom {
+	if timeUp || spent >= drainLeast && r.sessions.Len()+r.ending+len(r.muxes) == 0 {
 		r.log.WithField(logs.Left, r.sessions.Len()).Info("drained")
 		r.l.Stop()
 		return
 	}
 	r.l.After(drainLook, r.drained)
 }
+
+// dismiss ends all connections that have asked nothing; who asks in this very turn is answered.
+func (r *Relay) dismiss() {
+	for d := r.room.resting(); d != nil; d = r.room.resting() {
+		r.room.leave(d)
+		d.expire()
+	}
+}
+
+// shut takes in what waits in the accept queue, which would be reset by a listener that closes, and listens no more.
+func (r *Relay) shut() {
+	if r.drain.shut {
+		return
+	}
+	r.drain.shut = true
+	r.ingress.Shut()
+	if r.drain.stopping && !r.drain.handing {
+		r.dismiss()
+	}
+}
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -16,10 +16,12 @@
 	r         *Relay
 	s         *session
 	target    *route.Target
+	started   int64 // when the target had begun, as listed when it was chosen
 	attempt   int
 	out       side
 	began     loop.Micros
 	until     loop.Micros // given up then, unless it is up
+	writeBy   loop.Micros // the first line is written by then or not at all; 0 where that does not matter
 	connected bool
 	sent      bool   // the first line's last byte is written: the target may have run it
 	buf       []byte // the answer, as far as it has come
@@ -29,9 +31,13 @@
 	over      bool
 }
 
-func (r *Relay) dial(s *session, t *route.Target, attempt int, wait loop.Micros) *hop {
+// dial starts an attempt that is given up after wait. Where within is not 0, its line is written within that or never.
+func (r *Relay) dial(s *session, t *route.Target, attempt int, wait, within loop.Micros) *hop {
 	now := r.l.Now()
-	h := &hop{r: r, s: s, target: t, attempt: attempt, began: now, until: now + wait}
+	h := &hop{r: r, s: s, target: t, attempt: attempt, began: now, until: now + wait, started: t.StartedMillis}
+	if within > 0 {
+		h.writeBy = now + within
+	}
 	if r.cfg.Channels == nil || !r.cfg.Channels.Nodes || !h.viaTrunk() {
 		h.direct()
 	}
@@ -75,11 +81,61 @@
 		return
 	}
 	h.connected = true
-	now := h.r.l.Now()
-	h.r.l.Cancel(&h.timer)
-	h.timer = h.r.l.After(h.until-now, func() { h.end(h.unanswered(logic.TimedOut)) })
+	if !h.mayWrite() {
+		return
+	}
 	conn.Write(h.firstLine())
-	h.sent = conn.Pending() == 0
+	h.sent = conn.Pending() == 0 && !conn.Broken()
+	h.await()
+}
+
+// mayWrite looks once more before the first line goes out: a connection takes a while to come up, and meanwhile the client
+// may have left, its end still unread behind this very event; discovery may have told that the target drains or began
+// anew; and the time may be over in which the request may be repeated. It then never runs, and the hop has ended.
+func (h *hop) mayWrite() bool {
+	if h.s.Readable(); h.over {
+		return false
+	}
+	if h.recalled() || h.writeBy > 0 && h.r.l.Now() >= h.writeBy {
+		h.end(logic.Moot)
+		return false
+	}
+	return true
+}
+
+// recalled tells that the target is no longer one that the module may have chosen. What an earlier process of this
+// deployment had open at a target goes there whatever it is now.
+func (h *hop) recalled() bool {
+	return h.s.phase == asked && !h.sent && (h.target.State != route.Ready || h.target.StartedMillis != h.started)
+}
+
+// recall ends what is on its way to targets that have just been listed as draining, gone or begun anew, before it is sent.
+func (r *Relay) recall() {
+	for _, s := range r.sessions.All {
+		if s.hop != nil && s.hop.trunk == nil && s.hop.recalled() {
+			s.hop.end(logic.Moot)
+		}
+	}
+}
+
+// await has the hop end when its target has not answered in time, or the first line could not be written in time.
+func (h *hop) await() {
+	at := h.until
+	if !h.sent && h.writeBy > 0 {
+		at = min(at, h.writeBy)
+	}
+	h.r.l.Cancel(&h.timer)
+	h.timer = h.r.l.After(at-h.r.l.Now(), func() {
+		// What came in this very turn still counts.
+		if h.read(); h.over || h.s.phase == open {
+			return
+		}
+		if h.sent && h.r.l.Now() < h.until {
+			h.await()
+			return
+		}
+		h.end(h.unanswered(logic.TimedOut))
+	})
 }
 
 // firstLine is what the target is sent: d tells it how long this hop will wait, and all else goes as the client sent it,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -236,6 +236,7 @@
 		kind = logic.Full
 	}
 	r.tell(r.update(kind, c))
+	r.recall()
 	for _, s := range r.sessions.All {
 		s.resume()
 	}
--- a/internal/relay/room.go
+++ b/internal/relay/room.go
@@ -50,6 +50,16 @@
 	return nil
 }
 
+// resting is a connection that has asked nothing, nil where none is left.
+func (q *room) resting() *door {
+	for _, row := range []*list.List{&q.strangers, &q.fronts} {
+		if e := row.Front(); e != nil {
+			return e.Value.(*door)
+		}
+	}
+	return nil
+}
+
 // makeRoom closes what may go until descriptors no longer run short.
 func (r *Relay) makeRoom() {
 	for r.tight() {
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -6,6 +6,7 @@
 	"io"
 	"slices"
 
+	"spurspread/decide/repeat"
 	"spurspread/internal/line"
 	"spurspread/internal/loop"
 	"spurspread/logic"
@@ -208,15 +209,35 @@
 
 func (s *session) overdue() {
 	s.r.log.Warn("the module left a request without an answer")
-	s.fail()
-	s.withdraw()
+	s.expire()
+}
+
+// expire has the request answered at once. What the answer may promise is for the module to say.
+func (s *session) expire() {
+	if s.r.tell(logic.Expire{ID: uint32(s.ref)}); s.phase == asked {
+		s.fail()
+		s.withdraw()
+	}
+}
+
+// giveBack answers a request at once that goes where its client says, of which the module has not heard.
+func (s *session) giveBack() {
+	rule := repeat.Strictest()
+	if q, classes := s.request(), s.r.cfg.Settings.Logic.Classes; q.Class < len(classes) {
+		rule = classes[q.Class].Rule()
+	}
+	if rule.Harmless(s.hop != nil && s.hop.sent) {
+		s.shed(shedHold)
+	} else {
+		s.fail()
+	}
 }
 
 // resume sends a connection to the target that holds it, as soon as that is listed.
 func (s *session) resume() {
 	if t := s.r.table.ByID(s.first.At); t != nil && s.phase == resuming && s.hop == nil {
 		s.sends = 1
-		s.hop = s.r.dial(s, t, 0, max(s.due-s.r.l.Now(), ms))
+		s.hop = s.r.dial(s, t, 0, max(s.due-s.r.l.Now(), ms), 0)
 	}
 }
 
@@ -234,6 +255,9 @@
 	attempt := s.sends
 	s.sends++
 	t := s.r.table.ByNum(a.Server)
+	if s.phase == asked {
+		s.Readable() // a client that has left, its end not read yet, or that does not wait, is not sent on
+	}
 	if s.phase != asked || s.hop != nil || t == nil {
 		s.r.tell(logic.Outcome{ID: a.ID, Attempt: attempt, Server: a.Server, Status: logic.Moot,
 			Closed: s.phase != asked})
@@ -243,7 +267,7 @@
 	if left := s.due - s.r.l.Now(); wait == 0 || wait > left {
 		wait = left
 	}
-	s.hop = s.r.dial(s, t, attempt, max(wait, 0))
+	s.hop = s.r.dial(s, t, attempt, max(wait, 0), loop.Micros(a.Within))
 }
 
 // shed refuses the client, which may try again after the hold-off.
--- a/internal/relay/trunk.go
+++ b/internal/relay/trunk.go
@@ -208,8 +208,10 @@
 	waiting := t.waiting
 	t.waiting = nil
 	for _, h := range waiting {
-		if !h.over {
-			t.r.l.Cancel(&h.timer)
+		if h.over {
+			continue
+		}
+		if t.r.l.Cancel(&h.timer); h.mayWrite() {
 			h.open()
 		}
 	}
--- a/internal/route/discovery.go
+++ b/internal/route/discovery.go
@@ -143,6 +143,8 @@
 	conn   *loop.Conn
 	resp   response
 	text   []byte // of the object under way
+	depth  nesting
+	looked int // bytes of text that are counted in depth
 	err    error
 	timer  loop.Ref
 	over   bool
@@ -216,13 +218,20 @@
 			}
 			return
 		}
-		c.text = append(c.text, b[:end]...)
+		c.text = append(c.text, b[:end+1]...)
 		b = b[end+1:]
-		// Any whole line shows that discovery lives; until the first object only the call's own time counts.
+		text := bytes.TrimSpace(c.text)
+		if open := c.depth.feed(c.text[c.looked:]); open && len(c.text) <= maxBody {
+			c.looked = len(c.text) // an object may be indented, over many lines
+			continue
+		}
+		c.depth, c.looked = nesting{}, 0
+		// A whole object, or an empty line, shows that discovery lives; until the first object only the call's own time
+		// counts, and lines of an object that does not end show nothing.
 		if c.d.live == c {
 			c.wait(silence)
 		}
-		if text := bytes.TrimSpace(c.text); len(text) > 0 {
+		if len(text) > 0 {
 			if c.err = c.d.listed(c, text); c.err == nil {
 				c.wait(silence)
 			}
--- a/internal/route/http.go
+++ b/internal/route/http.go
@@ -154,3 +154,28 @@
 
 // complete tells whether the answer is whole if the connection ends here.
 func (r *response) complete() bool { return r.stage == atEnd || r.stage == inRest && r.left < 0 }
+
+// nesting follows how deep in braces and brackets a JSON text is, to tell where an object ends that spans lines.
+type nesting struct {
+	depth          int
+	inText, escape bool
+}
+
+// feed takes further bytes and tells whether the object is still open behind them.
+func (n *nesting) feed(b []byte) bool {
+	for _, c := range b {
+		switch {
+		case n.escape:
+			n.escape = false
+		case n.inText:
+			n.inText, n.escape = c != '"', c == '\\'
+		case c == '"':
+			n.inText = true
+		case c == '{' || c == '[':
+			n.depth++
+		case c == '}' || c == ']':
+			n.depth--
+		}
+	}
+	return n.depth > 0
+}
--- a/logic/api.go
+++ b/logic/api.go
@@ -1,27 +1,24 @@
 package logic
 
+import "spurspread/decide/repeat"
+
 // Micros is a point in time or a span, in microseconds of the caller's clock.
 type Micros int64
 
-// Effect says what repeating a request of a class may do.
-type Effect uint8
-
-// The effects a class can have: a Safe request may be repeated freely, a Keyed one only to the group of
-// servers that discards its repeats, an Unsafe one only when no earlier attempt can have run.
-const (
-	Safe Effect = iota
-	Keyed
-	Unsafe
+// Effect and Scope are what a class says of repeats; see decide/repeat.
+type (
+	Effect = repeat.Effect
+	Scope  = repeat.Scope
 )
 
-// Scope is the group of servers that discards the repeats of a keyed request.
-type Scope uint8
-
-// The scopes of a keyed class.
+// Their values.
 const (
-	ScopeAll Scope = iota
-	ScopeZone
-	ScopeCell
+	Safe      = repeat.Safe
+	Keyed     = repeat.Keyed
+	Unsafe    = repeat.Unsafe
+	ScopeAll  = repeat.All
+	ScopeZone = repeat.Zone
+	ScopeCell = repeat.Cell
 )
 
 // Class is one class of requests.
@@ -36,6 +33,11 @@
 	MessageAim    Micros // aim of a message on an open connection; 0 where not stated
 }
 
+// Rule is what the class says of repeats.
+func (c *Class) Rule() repeat.Rule {
+	return repeat.Rule{Effect: c.Effect, Scope: c.Scope, Window: int64(c.Window)}
+}
+
 // Tenant is one customer with a share of the service.
 type Tenant struct {
 	Portion          float64
@@ -188,6 +190,8 @@
 	}
 	// Withdrawn says that the client has left, or that its answer is overdue.
 	Withdrawn struct{ ID uint32 }
+	// Expire asks for the final answer of a request at once, if it has had none: its time is up, or the balancer's.
+	Expire struct{ ID uint32 }
 	// Timer is a timer that has fallen due.
 	Timer struct{ Token uint64 }
 	// Probed is the result of one Probe.
@@ -219,6 +223,7 @@
 func (Outcome) isEvent()     {}
 func (Leaving) isEvent()     {}
 func (Withdrawn) isEvent()   {}
+func (Expire) isEvent()      {}
 func (Timer) isEvent()       {}
 func (Probed) isEvent()      {}
 func (Retuned) isEvent()     {}
@@ -232,10 +237,12 @@
 	Watch struct{ On bool }
 	// Fetch asks discovery once for the whole list.
 	Fetch struct{}
-	// Send starts an attempt; GiveUp is its time-out.
+	// Send starts an attempt; GiveUp is its time-out. Where Within is not 0, the request has to be written whole
+	// within that time, or not at all: later it might bring about again what an earlier attempt did.
 	Send struct {
 		ID     uint32
 		GiveUp Micros
+		Within Micros
 		Server uint32
 	}
 	// Refuse is the final answer that lets the client try again.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -13,6 +13,7 @@
 	"spurspread/decide/lateness"
 	"spurspread/decide/load"
 	"spurspread/decide/presence"
+	"spurspread/decide/repeat"
 	"spurspread/decide/setups"
 )
 
@@ -104,13 +105,13 @@
 	borne      *server // whose load it is counted to
 	open       bool    // the connection stands
 	closed     bool    // answered or withdrawn; only an outcome is awaited
-	ran        *server // server of the first attempt that may have run
+	past       repeat.Past
 	erred      *server // server that answered an error, until another has judged the request
-	ranAt      Micros
 	lastSent   Micros
-	slot       int     // place in at.conns while open
-	only       *server // nobody else may have it: its client was told to come there
-	resumes    bool    // its client can be told where to come
+	sentTo     repeat.Place // as it was then
+	slot       int          // place in at.conns while open
+	only       *server      // nobody else may have it: its client was told to come there
+	resumes    bool         // its client can be told where to come
 }
 
 // Balancer decides for one proxy.
@@ -195,6 +196,8 @@
 		b.onLeaving(now, ev)
 	case Withdrawn:
 		b.onWithdrawn(ev)
+	case Expire:
+		b.onTimer(now, Timer{timerDue | uint64(ev.ID)})
 	case Timer:
 		b.onTimer(now, ev)
 	case Probed:
@@ -478,26 +481,11 @@
 	if s.State != Ready || r.only != nil && r.only != s {
 		return false
 	}
-	if r.ran == nil {
-		return true
-	}
-	switch r.class.Effect {
-	case Unsafe:
-		return false
-	case Keyed:
-		if now-r.ranAt >= r.class.Window-20*ms {
-			return false
-		}
-		switch r.class.Scope {
-		case ScopeZone:
-			return s.Zone == r.ran.Zone
-		case ScopeCell:
-			return s.Cell == r.ran.Cell
-		}
-	}
-	return true
+	return r.class.Rule().Allows(&r.past, int64(now), s.place())
 }
 
+func (s *server) place() repeat.Place { return repeat.Place{Zone: s.Zone, Cell: s.Cell} }
+
 // pick draws by share among the best-ranked ready servers of the home zone, and of the others where home has
 // only lower ranks. It returns nil where no server may have the request now.
 func (b *Balancer) pick(now Micros, r *request) *server {
@@ -670,7 +658,8 @@
 func (b *Balancer) place(now Micros, r *request) {
 	left := r.due - now
 	// Whose token is given back can come again with it; an attempt that ends too soon would have used it up.
-	stuck := r.only != nil && (r.sent > 0 || r.only.State != Ready || left < tryLeast)
+	stuck := r.only != nil && (r.sent > 0 || r.only.State != Ready || left < tryLeast) ||
+		r.class.Rule().Spent(&r.past, int64(now))
 	if left <= 0 || stuck || r.sent >= b.set.MostTries || (r.sent > 0 && (b.retries < 1 || b.pace.Shared())) {
 		b.finish(r)
 		return
@@ -700,13 +689,17 @@
 	s.pending++
 	s.triedBy = r.id + 1
 	r.sent++
-	r.at, r.lastSent = s, now
-	b.do(Send{ID: r.id, GiveUp: b.giveUp(r, left), Server: s.Server})
+	r.at, r.lastSent, r.sentTo = s, now, s.place()
+	send := Send{ID: r.id, GiveUp: b.giveUp(r, left), Server: s.Server}
+	if until, bound := r.class.Rule().Until(&r.past); bound {
+		send.Within = Micros(until) - now
+	}
+	b.do(send)
 }
 
 // giveUp is an attempt's time-out: it leaves room for another try, but cuts nothing short that would stand.
 func (b *Balancer) giveUp(r *request, left Micros) Micros {
-	if r.sent >= b.set.MostTries || left < 2*tryLeast || r.only != nil {
+	if r.sent >= b.set.MostTries || left < 2*tryLeast || r.only != nil || r.class.Effect == Unsafe {
 		return left
 	}
 	return min(max(Micros(float64(left)*tryShare), tryLeast, Micros(setUpRoom*b.pace.Span())), left)
@@ -714,9 +707,9 @@
 
 // finish gives the final answer: a refusal where a repeat is harmless, else a failure.
 func (b *Balancer) finish(r *request) {
-	unsure := r.ran != nil || r.at != nil
+	unsure := r.past.MayHaveRun() || r.at != nil
 	b.end(r)
-	if !unsure || r.class.Effect == Safe || (r.class.Effect == Keyed && r.class.Scope == ScopeAll) {
+	if r.class.Rule().Harmless(unsure) {
 		hold := Micros(0)
 		if b.set.MayHold {
 			hold = min(200*ms+b.jitter(400*ms), b.set.MaxRetryAfter)
@@ -801,8 +794,8 @@
 	if unsure {
 		r.erred = s
 	}
-	if ev.Status != ServerFull && ev.Status != ConnectFailed && ev.Status != Moot && r.ran == nil {
-		r.ran, r.ranAt = s, r.lastSent
+	if ev.Status != ServerFull && ev.Status != ConnectFailed && ev.Status != Moot {
+		r.past.Ran(int64(r.lastSent), r.sentTo)
 	}
 	b.place(now, r)
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -432,11 +432,65 @@
 	if len(next) != 1 {
 		t.Fatal("an attempt that surely never ran was not repeated")
 	}
-	g.outcome(id, next[0].Server, 1, TimedOut)
-	acts := g.do(Timer{timerDue | uint64(id)})
-	if len(only[Fail](acts)) != 1 || len(only[Refuse](acts)) != 0 {
+	if left := g.b.reqs[id].due - g.now; next[0].GiveUp != left {
+		t.Errorf("an attempt that can't be repeated is given up after %d of %d", next[0].GiveUp, left)
+	}
+	// What nobody may have any more is answered at once, not when its time is up.
+	acts := g.outcome(id, next[0].Server, 1, TimedOut)
+	if len(only[Fail](acts)) != 1 || len(only[Refuse](acts)) != 0 || len(only[Send](acts)) != 0 {
 		t.Fatalf("after an attempt that may have run: %v", acts)
 	}
+	if acts := g.do(Timer{timerDue | uint64(id)}); len(acts) != 0 {
+		t.Fatalf("a second answer: %v", acts)
+	}
+}
+
+// A repeat that comes to its server after the window would be a second effect, so the time to its writing is bounded.
+func TestKeyedRepeatIsWrittenWithinItsWindow(t *testing.T) {
+	s := settings()
+	s.Classes[0].Effect, s.Classes[0].Window = Keyed, 300*ms
+	g := newRig(t, s, fleet(4, 0))
+	id, sv := g.ask()
+	sent := g.now
+	if first := g.b.reqs[id]; first.past.MayHaveRun() {
+		t.Fatal("ran before an outcome")
+	}
+	g.now += 100 * ms
+	next := only[Send](g.outcome(id, sv, 0, Reset))
+	if len(next) != 1 || next[0].Within <= 0 || g.now+next[0].Within > sent+300*ms {
+		t.Fatalf("%+v, %d after the first", next, g.now-sent)
+	}
+	// One that could not be written in time never ran; now nobody may have it, and all servers discard its repeats.
+	g.now = sent + 300*ms
+	acts := g.outcome(id, next[0].Server, 1, Moot)
+	if len(only[Send](acts)) != 0 || len(only[Refuse](acts)) != 1 {
+		t.Fatalf("after the window: %v", acts)
+	}
+}
+
+// Told to answer at once, as when the balancer ends, the answer promises no more than at any other time.
+func TestExpiredPromisesNoMore(t *testing.T) {
+	for _, c := range []struct {
+		effect Effect
+		scope  Scope
+		fails  bool
+	}{{Safe, ScopeAll, false}, {Keyed, ScopeAll, false}, {Keyed, ScopeZone, true}, {Keyed, ScopeCell, true}, {Unsafe, ScopeAll, true}} {
+		s := settings()
+		s.Classes[0].Effect, s.Classes[0].Scope, s.Classes[0].Window = c.effect, c.scope, sec
+		g := newRig(t, s, fleet(4, 0))
+		id, sv := g.ask()
+		acts := g.do(Expire{id})
+		if len(only[Fail](acts))+len(only[Refuse](acts)) != 1 || len(only[Fail](acts)) == 1 != c.fails {
+			t.Errorf("%+v: %v", c, acts)
+		}
+		if acts := append(g.do(Expire{id}), g.outcome(id, sv, 0, Cancelled)...); len(acts) != 0 {
+			t.Errorf("%+v: a second answer: %v", c, acts)
+		}
+		stands, _ := g.stand()
+		if acts := g.do(Expire{stands}); len(acts) != 0 {
+			t.Errorf("%+v: one that stands: %v", c, acts)
+		}
+	}
 }
 
 func TestKeyedStaysInItsGroupAndWindow(t *testing.T) {
