--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -194,13 +194,15 @@
 	}
 }
 
-// Whoever says nothing whole is gone within 3 s of connecting, also behind a ping.
+// Whoever says nothing whole is gone within 3 s of connecting, also behind a ping. Who has begun to ask is told so.
 func TestSilentClients(t *testing.T) {
 	g := newRig(t, 0, nil, nil)
 	began := time.Now()
 	silent, half := g.client(""), g.client("OPEN 9b1f 7f3a c=sy")
 	pinged := g.client("PING\r\nOPEN 9b1f")
 	pinged.want("PONG\r\n")
+	half.want("ERR\r\n")
+	pinged.want("ERR\r\n")
 	for _, c := range []*peer{silent, half, pinged} {
 		c.ended(true)
 	}
