Test watches on the list that never bring it whole, are silent twice or moved twice, and indented lists

Seen to fail with each taken out (overlays of one line): objects over several lines, counted once and anew, strings heeded; lines of an unfinished object, and empty lines before the first object, that keep a watch alive; the bound on what is kept; the call's own time; the drop of a call at an address that was left; the whole list asked for at a new address.

--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -240,3 +240,122 @@
 	w.want(t, "41 s1 s2")
 	w.want(t, "failed")
 }
+
+// indented is an object as some services print it, with all that could be taken for its end.
+const indented = "{\n  \"generation\": 41,\n  \"reset\": true,\n\n  \"note\": \"}]\\\" {\",\n  \"instances\": [\n    " + one + ",\n    " + two +
+	"\n  ]\n}"
+
+// Objects on a watch may span lines, with empty ones between and within, however their bytes are split.
+func TestIndentedObjectsOnAWatch(t *testing.T) {
+	text := indented + "\n\n" + `{"generation":42,"instances":[` + one + "]}\n" + strings.ReplaceAll(indented, "\n", "\r\n") + "\r\n"
+	for step := 1; step <= len(text); step++ {
+		c, w := asked(t)
+		for at := 0; at < len(text); at += step {
+			c.body([]byte(text[at:min(at+step, len(text))]))
+		}
+		if c.err != nil {
+			t.Fatalf("step %d: %v", step, c.err)
+		}
+		for _, want := range []string{"41 s1 s2", "42 s1", "41 s1 s2"} {
+			w.want(t, want)
+		}
+	}
+}
+
+// asked is a watch that was asked for and has been answered nothing yet; nobody is at its other end.
+func asked(t *testing.T) (*call, told) {
+	t.Helper()
+	l, err := loop.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	w := told{make(chan string, 100)}
+	d := NewDiscovery(l, netip.AddrPort{}, NewTable(), w)
+	d.asking = &call{d: d, stream: true}
+	return d.asking, w
+}
+
+// An object that goes on and on in short lines is held to the same bound, however its lines are cut.
+func TestObjectWithoutEnd(t *testing.T) {
+	c, _ := asked(t)
+	c.body([]byte("{\n"))
+	for part := []byte(strings.Repeat("1", 1000) + "\n"); c.err == nil; c.body(part) {
+		if len(c.text) > maxBody+2000 {
+			t.Fatalf("%d bytes are kept", len(c.text))
+		}
+	}
+}
+
+// A watch that sends on and on, but never an object whole, is as dead as one that is silent; and what it sends is bounded.
+func TestWatchWithoutEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		part string
+		rest time.Duration
+	}{
+		"line by line":  {`"x": 1,`, 200 * time.Millisecond},
+		"at full speed": {strings.Repeat("x", 1<<20), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, w, l, d := start(t)
+			l.Post(d.Watch)
+			conn := f.call("/api/targets?stream=1&index=0", watched+chunk(whole)+chunk("{"))
+			w.want(t, "41 s1 s2")
+			for sent := 0; ; sent++ {
+				if _, err := conn.Write([]byte(chunk(c.part))); err != nil {
+					break // it was given up
+				}
+				if sent == 64 { // twelve seconds, or sixteen times what an object may hold
+					t.Fatal("all of it was taken")
+				}
+				time.Sleep(c.rest)
+			}
+			w.want(t, "failed")
+		})
+	}
+}
+
+// A new watch that is silent, too, fails by a time of its own; and one that began to answer, but not an object, is not live.
+func TestNewWatchSilentToo(t *testing.T) {
+	f, w, l, d := start(t)
+	l.Post(d.Watch)
+	f.call("/api/targets?stream=1&index=0", watched+chunk(whole))
+	w.want(t, "41 s1 s2")
+	w.want(t, "failed")
+	l.Post(d.Watch)
+	second := f.call("/api/targets?stream=1&index=41", watched)
+	for sent := 0; ; sent++ { // empty lines alone: it may not keep what the list was for ever
+		if _, err := second.Write([]byte(chunk(""))); err != nil {
+			break
+		}
+		if sent == 60 {
+			t.Fatal("a watch that brings no list stays")
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	w.want(t, "failed")
+	l.Post(d.Watch)
+	f.call("/api/targets?stream=1&index=41", watched+chunk(`{"generation":43,"instances":[`+two+`]}`))
+	w.want(t, "43 s2")
+}
+
+// A move while the watch is silent, and again before the new address has answered: only the last counts, and its versions
+// are its own though they are lower.
+func TestMovedTwice(t *testing.T) {
+	f, w, l, d := start(t)
+	l.Post(d.Watch)
+	f.call("/api/targets?stream=1&index=0", watched+chunk(whole))
+	w.want(t, "41 s1 s2")
+	second, third := newFake(t), newFake(t)
+	l.Post(func() { d.Move(second.addr()) })
+	late := second.call("/api/targets?stream=1&index=0", "")
+	l.Post(func() { d.Move(third.addr()) })
+	if n, err := late.Read(make([]byte, 1)); n != 0 || err == nil {
+		t.Fatal("the call at the address between stays")
+	}
+	live := third.call("/api/targets?stream=1&index=0", watched+chunk(`{"generation":3,"reset":true,"instances":[`+two+`]}`))
+	w.want(t, "3 s2")
+	_, _ = live.Write([]byte(chunk(`{"generation":4,"instances":[` + one + `]}`)))
+	w.want(t, "4 s1")
+}
