--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,9 @@
 build:
 	mkdir -p bin && go build -ldflags=-linkmode=external -o bin/ ./cmd/...
 
+# All but what KNOWN-RED.txt lists, which has to fail: see .ci/test.
 test:
-	go test ./...
+	.ci/test
 
 lint:
 	test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
