Bear settings at the ends of their ranges: ask_every of 0 was a panic at start and at SIGHUP

Span is at least a millisecond now. A connect time-out of 0 had every connection fail at once; it is as if none were given, one second.

--- a/decide/asks/asks.go
+++ b/decide/asks/asks.go
@@ -30,8 +30,8 @@
 // Begin has the first ask made in this balancer's turn.
 func (a *Asker) Begin(now int64) { a.heard, a.next = now, a.turn(now, a.Span()) }
 
-// Span is the time over which all balancers' calls of one cause are spread.
-func (a *Asker) Span() int64 { return min(spread*int64(max(a.Balancers, 1)), a.Every) }
+// Span is the time over which all balancers' calls of one cause are spread; settings may give no time at all.
+func (a *Asker) Span() int64 { return max(min(spread*int64(max(a.Balancers, 1)), a.Every), ms) }
 
 // turn is this balancer's next moment, by its rank, in a cycle of length d that all share by the clock.
 func (a *Asker) turn(now, d int64) int64 {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,7 @@
 package settings
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
@@ -18,6 +19,9 @@
 const (
 	maxList = 10000
 	maxText = 1 << 20
+
+	// connectTimeout is for settings that name none, or none that anything could connect in.
+	connectTimeout logic.Micros = 1_000_000
 )
 
 // settings reads path=value pairs and collects what is wrong with them.
@@ -114,7 +118,7 @@
 		Logic:          s.read(),
 		Zones:          s.list("dcs"),
 		Kinds:          s.list("skus"),
-		ConnectTimeout: s.time("limits.connect_timeout", false, 1_000_000),
+		ConnectTimeout: cmp.Or(s.time("limits.connect_timeout", false, 0), connectTimeout),
 		TellsLoad:      s.flag("specifics.tells_load"),
 		TellsDelay:     s.flag("specifics.tells_delay"),
 	}
