Answer what is asked in the moment of eviction; tests of leaving with an attempt or a line under way

makeRoom closed the oldest silent connection over an unread first line, which is a reset with no answer; door.evict reads what has come and sheds it. Seen to fail without. Further orders tested, each seen to fail with a line taken out: an attempt that is out is not recalled; UP in the turn of SIGTERM or a lame duck; a line under way that never ends, whose target or client ends, or that is moved twice.

--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -186,6 +186,17 @@
 	d.end()
 }
 
+// evict ends a connection for want of descriptors. What it has asked by now, unread, is answered: it is shed.
+func (d *door) evict() {
+	d.r.room.leave(d)
+	if d.shed = true; !d.ending {
+		d.Readable(d.conn)
+	}
+	if d.session == nil && (d.mux == nil || d.mux.over) {
+		d.close()
+	}
+}
+
 func (d *door) close() {
 	if d.closed {
 		return
--- a/internal/relay/ordering_test.go
+++ b/internal/relay/ordering_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"spurspread/decide/duty"
 	"spurspread/internal/loop"
 	"spurspread/internal/settings"
 	"spurspread/logic"
@@ -441,6 +442,11 @@
 		p.ended(true)
 		_ = p.Close()
 		g.stops()
+		for len(g.events) > 0 {
+			if ev, ok := (<-g.events).(logic.Request); ok {
+				t.Errorf("sent on after the end: %+v", ev)
+			}
+		}
 	})
 	t.Run("half a line", func(t *testing.T) {
 		t.Parallel()
@@ -546,3 +552,126 @@
 		})
 	}
 }
+
+// Once the first line is out, its attempt is not taken back: it may have run, and its answer counts.
+func TestNotRecalledOnceSent(t *testing.T) {
+	for name, entry := range map[string]string{
+		"drains":     `{"instanceId":"s0","hostPort":"127.0.0.1:1","weight":1,"lifecycle":"Terminating"}`,
+		"is gone":    `{"instanceId":"s0","hostPort":"127.0.0.1:1","weight":1,"lifecycle":"Gone"}`,
+		"began anew": `{"instanceId":"s0","hostPort":"127.0.0.1:1","weight":1,"lifecycle":"Ready","startedAtMs":1700000000000}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t, 1, to, nil)
+			client := g.client(openLine)
+			target := g.hop(0)
+			target.line()
+			g.inLoop(func() {
+				c, err := g.r.table.Apply([]byte(`{"generation":2,"instances":[` + entry + `]}`))
+				g.check(err)
+				g.r.Listed(c)
+				target.say("UP r1\r\n")
+			})
+			client.want("UP r1\r\n")
+			event[logic.Established](g)
+		})
+	}
+}
+
+// A request with an attempt out when the balancer begins to leave is served all the same, once, and moved after it stands.
+func TestAnswerWhileLeaving(t *testing.T) {
+	for name, leave := range map[string]func(*rig){
+		"stop":      func(g *rig) { g.r.Drain() },
+		"lame duck": func(g *rig) { g.r.Manage(duty.LameDuckCall) },
+		"lame duck, then stop": func(g *rig) {
+			g.r.Manage(duty.LameDuckCall)
+			g.r.Drain()
+		},
+		"hand-over to nobody": func(g *rig) { g.r.HandOver("nowhere", 1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := newDecidedRig(t, 1, nil)
+			client := g.client(openLine)
+			target := g.hop(0)
+			target.line()
+			g.inLoop(func() {
+				leave(g)
+				target.say("UP r1\r\nfirst\r\n")
+			})
+			client.want("UP r1\r\n")
+			client.want("first\r\n")
+			client.want("MOVE\r\n")
+			client.ended(true)
+			target.ended(true)
+		})
+	}
+}
+
+// A client that is to be moved in the middle of a line waits for its end, but not for ever; and what ends meanwhile, ends.
+func TestWhileALineIsUnderWay(t *testing.T) {
+	for name, c := range map[string]struct {
+		act  func(client, target *peer)
+		seen func(client, target *peer)
+		want logic.Status
+	}{
+		"never ends": {func(_, _ *peer) {}, func(c, s *peer) {
+			c.ended(false) // no MOVE can be said
+			s.ended(true)
+		}, logic.Cancelled},
+		"target ends":   {func(_, s *peer) { _ = s.Close() }, func(c, _ *peer) { c.ended(true) }, logic.Reset},
+		"target resets": {func(_, s *peer) { _ = s.SetLinger(0); _ = s.Close() }, func(c, _ *peer) { c.ended(false) }, logic.Reset},
+		"client resets": {func(c, _ *peer) { _ = c.SetLinger(0); _ = c.Close() }, func(_, s *peer) { s.ended(false) }, logic.Cancelled},
+		"moved again": {func(c, s *peer) { c.g.inLoop(func() { firstSession(c.g).move(logic.Cancelled) }); s.say("\r\n") },
+			func(c, s *peer) {
+				c.want("\r\n")
+				c.want("MOVE\r\n")
+				c.ended(true)
+			}, logic.Cancelled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := newRig(t, 1, to, nil)
+			client, target := g.stand()
+			target.say("half")
+			half := make([]byte, 4)
+			if _, err := io.ReadFull(client.rd, half); err != nil {
+				t.Fatal(err)
+			}
+			g.inLoop(func() { g.r.do(logic.Move{ID: uint32(firstSession(g).ref)}) })
+			c.act(client, target)
+			c.seen(client, target)
+			g.outcome(c.want, true)
+			for len(g.events) > 0 {
+				if ev, ok := (<-g.events).(logic.Outcome); ok {
+					t.Errorf("a second outcome: %+v", ev)
+				}
+			}
+		})
+	}
+}
+
+// A connection that goes for want of descriptors, just as its client asks, is answered first; one that has said nothing sees
+// a plain end.
+func TestAskedAsItIsEvicted(t *testing.T) {
+	g := newRig(t, 0, nil, nil)
+	asks, silent := g.client(""), g.client("")
+	g.until(func() bool { return g.r.room.strangers.Len() == 2 })
+	g.inLoop(func() {
+		asks.say(openLine)
+		g.r.cfg.Descriptors = 1
+		g.r.makeRoom()
+		if n := g.r.room.strangers.Len() + g.r.room.answered.Len(); n != 0 {
+			t.Errorf("%d connections stay", n)
+		}
+	})
+	if got := asks.line(); !strings.HasPrefix(got, "BUSY ") {
+		t.Errorf("%q", got)
+	}
+	asks.ended(true)
+	silent.ended(true)
+	for len(g.events) > 0 {
+		if ev, ok := (<-g.events).(logic.Request); ok {
+			t.Errorf("sent on: %+v", ev)
+		}
+	}
+}
--- a/internal/relay/room.go
+++ b/internal/relay/room.go
@@ -68,7 +68,7 @@
 			return
 		}
 		r.counts.evicted++
-		d.close()
+		d.evict()
 	}
 }
 
