--- a/internal/relay/channels_test.go
+++ b/internal/relay/channels_test.go
@@ -756,9 +756,9 @@
 	}
 	client.say("T 1\r\n")
 	target.want("T 1\r\n")
-	evicted := 0
-	g.inLoop(func() { evicted = g.r.counts.evicted })
-	if evicted < 30 {
-		t.Errorf("%d evicted", evicted)
+	evicted, open := 0, 0
+	g.inLoop(func() { evicted, open = g.r.counts.evicted, g.l.Descriptors() })
+	if evicted < 30 || open > 40 {
+		t.Errorf("%d evicted, %d descriptors", evicted, open)
 	}
 }
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -192,7 +192,7 @@
 	if d.shed = true; !d.ending {
 		d.Readable(d.conn)
 	}
-	if d.session == nil && (d.mux == nil || d.mux.over) {
+	if d.session == nil && (d.mux == nil || d.mux.count == 0) {
 		d.close()
 	}
 }
