A planned stop lasts as long as it began to: settings read again meanwhile don't shorten it

Relay.longest was asked at every look; a SIGHUP with shorter deadlines behind SIGTERM ended the loop before the moves that were planned, and cut off who stood, without MOVE. drain.span keeps what held when it began. TestRetunedDuringAStop fails without, for a stop and for a hand-over.

--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -24,8 +24,9 @@
 	handing  bool // another process listens on the same port and takes what is new
 	shut     bool // nobody can connect here any more
 	began    loop.Micros
-	round    int     // counts drains, so that what a drain taken back had planned does nothing
-	passer   *passer // to a successor that takes standing connections
+	span     loop.Micros // what a planned stop waits for, by the settings as they were when it began
+	round    int         // counts drains, so that what a drain taken back had planned does nothing
+	passer   *passer     // to a successor that takes standing connections
 }
 
 // longest is the longest deadline of a request, as far as a planned restart waits for it.
@@ -102,7 +103,7 @@
 
 // startDrain has fronts told no; connections that were to resume are shed.
 func (r *Relay) startDrain() {
-	r.drain = drain{on: true, began: r.l.Now(), round: r.drain.round + 1}
+	r.drain = drain{on: true, began: r.l.Now(), span: r.longest(), round: r.drain.round + 1}
 	for _, s := range r.sessions.All {
 		if s.phase == resuming {
 			s.giveBack()
@@ -181,7 +182,7 @@
 		}
 		r.dismiss()
 	}
-	timeUp := spent >= r.longest()+drainRoom
+	timeUp := spent >= r.drain.span+drainRoom
 	if timeUp || spent >= drainLeast && r.sessions.Len()+len(r.muxes) == 0 {
 		r.shut()
 	}
--- a/internal/relay/ordering_test.go
+++ b/internal/relay/ordering_test.go
@@ -675,3 +675,31 @@
 		}
 	}
 }
+
+// Settings read again during a planned stop don't shorten it: who stands is moved as was planned, and not cut off.
+func TestRetunedDuringAStop(t *testing.T) {
+	for name, leave := range map[string]func(*rig){
+		"stop":      func(g *rig) { g.r.Drain() },
+		"hand-over": func(g *rig) { g.r.HandOver("nowhere", 1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := newRig(t, 1, to, nil)
+			client, _ := g.stand()
+			set, err := settings.ParseJSON([]byte(strings.Replace(rigSettings, `"deadline":60000000`, `"deadline":100000`, 1)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			g.inLoop(func() {
+				leave(g)
+				cfg := g.r.cfg
+				cfg.Settings = set
+				g.r.Reload(cfg)
+			})
+			client.want("MOVE\r\n")
+			client.ended(true)
+			_ = client.Close()
+			g.stops()
+		})
+	}
+}
--- a/internal/relay/pass.go
+++ b/internal/relay/pass.go
@@ -22,11 +22,11 @@
 
 // pass offers all that stands to the process that listens at the path, and moves the rest.
 func (r *Relay) pass(path string, pid int) {
-	p := &passer{r: r, plan: succession.New(r.l.Now(), r.longest())}
+	p := &passer{r: r, plan: succession.New(r.l.Now(), r.drain.span)}
 	var err error
 	if p.link, err = r.l.DialPackets(path, pid, p); err != nil {
 		r.log.WithError(err).Info("the successor takes no standing connections: moving them")
-		r.moveStanding(r.longest())
+		r.moveStanding(r.drain.span)
 		return
 	}
 	r.drain.passer = p
@@ -146,7 +146,7 @@
 	}
 	p.r.log.WithField(logs.Passed, p.r.counts.passed).WithField(logs.Standing, p.r.sessions.Len()).
 		Info("passed standing connections to the successor")
-	p.r.moveStanding(p.r.longest())
+	p.r.moveStanding(p.r.drain.span)
 }
 
 func closeAll(fds []int) {
