--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -222,12 +222,11 @@
 
 // Listener accepts connections on one address.
 type Listener struct {
-	l       *Loop
-	fd      int
-	ref     Ref
-	accept  func(adopt func(Owner) (*Conn, error))
-	retry   Ref
-	stopped bool
+	l      *Loop
+	fd     int
+	ref    Ref
+	accept func(adopt func(Owner) (*Conn, error))
+	retry  Ref
 }
 
 // backlog is the most connections that the kernel queues for a listener.
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -165,7 +165,7 @@
 	}
 }
 
-// arm has it closed after a span.
+// arm has it ended after a span, unless it has asked by then.
 func (d *door) arm(span loop.Micros) { d.armFor(span, d.expire) }
 
 func (d *door) armFor(span loop.Micros, due func()) {
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -101,7 +101,7 @@
 	r.moveStanding(span)
 }
 
-// startDrain has fronts told no; connections that were to resume are shed.
+// startDrain has fronts told no; connections that were to resume are given back, as far as their class allows.
 func (r *Relay) startDrain() {
 	r.drain = drain{on: true, began: r.l.Now(), span: r.longest(), round: r.drain.round + 1}
 	for _, s := range r.sessions.All {
--- a/internal/relay/ordering_test.go
+++ b/internal/relay/ordering_test.go
@@ -40,6 +40,16 @@
 	}
 }
 
+// unheard checks that the module has been asked nothing.
+func (g *rig) unheard() {
+	g.t.Helper()
+	for len(g.events) > 0 {
+		if ev, ok := (<-g.events).(logic.Request); ok {
+			g.t.Fatalf("the module was asked about %+v", ev)
+		}
+	}
+}
+
 // outcome waits for the one outcome of an attempt.
 func (g *rig) outcome(want logic.Status, closed bool) {
 	g.t.Helper()
@@ -334,7 +344,7 @@
 	for name, act := range map[string]func(g *rig) []*peer{
 		"unread": func(g *rig) (all []*peer) {
 			p := g.client("")
-			g.seen(p)
+			g.seen()
 			g.inLoop(func() {
 				p.say(openLine)
 				g.r.Drain()
@@ -354,7 +364,7 @@
 		},
 		"silent until then": func(g *rig) []*peer {
 			p := g.client("")
-			g.seen(p)
+			g.seen()
 			g.inLoop(g.r.Drain)
 			p.say(openLine)
 			return []*peer{p}
@@ -389,7 +399,7 @@
 		},
 		"unread as resting connections are ended": func(g *rig) []*peer {
 			p := g.client("")
-			g.seen(p)
+			g.seen()
 			g.inLoop(func() {
 				g.r.Drain()
 				p.say(openLine)
@@ -409,17 +419,13 @@
 				_ = p.Close()
 			}
 			g.stops()
-			for len(g.events) > 0 {
-				if ev, ok := (<-g.events).(logic.Request); ok {
-					t.Fatalf("the module was asked about %+v", ev)
-				}
-			}
+			g.unheard()
 		})
 	}
 }
 
-// seen waits until the relay has the client's connection, which has said nothing.
-func (g *rig) seen(*peer) {
+// seen waits until the relay has one connection that has said nothing.
+func (g *rig) seen() {
 	g.t.Helper()
 	g.until(func() bool { return g.r.room.strangers.Len() == 1 })
 }
@@ -431,7 +437,7 @@
 		t.Parallel()
 		g := newDecidedRig(t, 1, nil)
 		p := g.client("")
-		g.seen(p)
+		g.seen()
 		g.inLoop(func() {
 			g.r.Drain()
 			g.r.dismiss()
@@ -442,11 +448,7 @@
 		p.ended(true)
 		_ = p.Close()
 		g.stops()
-		for len(g.events) > 0 {
-			if ev, ok := (<-g.events).(logic.Request); ok {
-				t.Errorf("sent on after the end: %+v", ev)
-			}
-		}
+		g.unheard()
 	})
 	t.Run("half a line", func(t *testing.T) {
 		t.Parallel()
@@ -473,7 +475,7 @@
 func TestFloodBehindTheAnswer(t *testing.T) {
 	g := newRig(t, 0, nil, nil)
 	p := g.client("")
-	g.seen(p)
+	g.seen()
 	g.inLoop(func() {
 		d := g.r.room.strangers.Front().Value.(*door)
 		p.say("nonsense\r\n")
@@ -669,11 +671,7 @@
 	}
 	asks.ended(true)
 	silent.ended(true)
-	for len(g.events) > 0 {
-		if ev, ok := (<-g.events).(logic.Request); ok {
-			t.Errorf("sent on: %+v", ev)
-		}
-	}
+	g.unheard()
 }
 
 // Settings read again during a planned stop don't shorten it: who stands is moved as was planned, and not cut off.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -470,11 +470,7 @@
 	err := <-g.stopped
 	g.stopped <- err
 	g.check(err)
-	for len(g.events) > 0 {
-		if ev, ok := (<-g.events).(logic.Request); ok {
-			t.Errorf("the module was asked about %+v", ev)
-		}
-	}
+	g.unheard()
 }
 
 // Short of descriptors, clients are shed and not cut off.
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -166,12 +166,19 @@
 	return f, w, l, d
 }
 
-// A watch carries the version on, and asking again keeps the old watch until the new one has answered.
-func TestWatchAskedAgainLeavesNoGap(t *testing.T) {
-	f, w, l, d := start(t)
+// watching is start with a watch that has brought the whole list; conn is discovery's end of it.
+func watching(t *testing.T) (f fake, w told, l *loop.Loop, d *Discovery, conn net.Conn) {
+	t.Helper()
+	f, w, l, d = start(t)
 	l.Post(d.Watch)
-	first := f.call("/api/targets?stream=1&index=0", watched+chunk(whole))
+	conn = f.call("/api/targets?stream=1&index=0", watched+chunk(whole))
 	w.want(t, "41 s1 s2")
+	return f, w, l, d, conn
+}
+
+// A watch carries the version on, and asking again keeps the old watch until the new one has answered.
+func TestWatchAskedAgainLeavesNoGap(t *testing.T) {
+	f, w, l, d, first := watching(t)
 	l.Post(d.Watch)
 	second := f.call("/api/targets?stream=1&index=41", "")
 	_, _ = first.Write([]byte(chunk("") + chunk(`{"generation":43,"instances":[`+two+`]}`)))
@@ -190,10 +197,7 @@
 // A new address is asked for the whole list, whose versions are its own, and asked again where it fails. Until it has
 // answered, what comes from the old one counts; that one's end is no failure.
 func TestMove(t *testing.T) {
-	f, w, l, d := start(t)
-	l.Post(d.Watch)
-	old := f.call("/api/targets?stream=1&index=0", watched+chunk(whole))
-	w.want(t, "41 s1 s2")
+	_, w, l, d, old := watching(t)
 	next := newFake(t)
 	l.Post(func() { d.Move(next.addr()) })
 	next.call("/api/targets?stream=1&index=0", "HTTP/1.1 503 Busy\r\n\r\n")
@@ -234,10 +238,7 @@
 
 // A watch that says nothing for longer than its empty lines come is dead, though its connection stands.
 func TestSilentWatchFails(t *testing.T) {
-	f, w, l, d := start(t)
-	l.Post(d.Watch)
-	f.call("/api/targets?stream=1&index=0", watched+chunk(whole))
-	w.want(t, "41 s1 s2")
+	_, w, _, _, _ := watching(t)
 	w.want(t, "failed")
 }
 
@@ -318,10 +319,7 @@
 
 // A new watch that is silent, too, fails by a time of its own; and one that began to answer, but not an object, is not live.
 func TestNewWatchSilentToo(t *testing.T) {
-	f, w, l, d := start(t)
-	l.Post(d.Watch)
-	f.call("/api/targets?stream=1&index=0", watched+chunk(whole))
-	w.want(t, "41 s1 s2")
+	f, w, l, d, _ := watching(t)
 	w.want(t, "failed")
 	l.Post(d.Watch)
 	second := f.call("/api/targets?stream=1&index=41", watched)
@@ -343,10 +341,7 @@
 // A move while the watch is silent, and again before the new address has answered: only the last counts, and its versions
 // are its own though they are lower.
 func TestMovedTwice(t *testing.T) {
-	f, w, l, d := start(t)
-	l.Post(d.Watch)
-	f.call("/api/targets?stream=1&index=0", watched+chunk(whole))
-	w.want(t, "41 s1 s2")
+	_, w, l, d, _ := watching(t)
 	second, third := newFake(t), newFake(t)
 	l.Post(func() { d.Move(second.addr()) })
 	late := second.call("/api/targets?stream=1&index=0", "")
