Gossip of a shrinking zone ends what was sent often enough

Callers saw: with zones on (off on the platform) the whole process panics, all its connections end. Cause: Directory.gossip draws transmitLimit less the batch's highest count of sends; the limit follows the zone's size, so it falls below that count where most of a zone goes while an item is pending. A floor of 0 alone stops the panic, but TestGossipOfNewItemInShrunkenZone then shows a round that sends nothing of a newer item; before, it panics, too. Change: endCompletedGossip ends items at or past the limit of now before a round is filled; what is left is under the limit, so at least one member is drawn.

--- a/decision/zonedirectory/dissemination.go
+++ b/decision/zonedirectory/dissemination.go
@@ -72,12 +72,10 @@
 		return
 	}
 	state.nextGossipAt = now + d.spreadAround(gossipInterval, gossipJitter)
+	d.endCompletedGossip()
 	pending := d.pendingEntries(func(e *entry) bool { return e.gossipPending })
-	state.gossipPending = len(pending) > 0 && len(d.zonePeers) > 0
+	state.gossipPending = len(pending) > 0
 	if !state.gossipPending {
-		for _, e := range pending {
-			e.gossipPending = false
-		}
 		return
 	}
 	slices.SortStableFunc(pending, func(a, b *entry) int { return cmp.Compare(a.transmits, b.transmits) })
@@ -94,6 +92,15 @@
 	}
 }
 
+// endCompletedGossip ends the dissemination of items that were sent to enough members, or that nobody is there to
+// receive. An item can be past transmitLimit without a further send, since the limit falls with the zone's size.
+func (d *Directory) endCompletedGossip() {
+	limit := d.transmitLimit()
+	for _, e := range d.items {
+		e.gossipPending = e.gossipPending && e.transmits < limit && len(d.zonePeers) > 0
+	}
+}
+
 func (d *Directory) pendingEntries(pending func(*entry) bool) []*entry {
 	var entries []*entry
 	for _, key := range d.keys {
--- a/decision/zonedirectory/gossip_test.go
+++ b/decision/zonedirectory/gossip_test.go
@@ -22,3 +22,28 @@
 		d.Tick(now, local)
 	}
 }
+
+// An item past the transmit limit of a shrunken zone is not sent again, and does not hold back one that is due.
+func TestGossipOfNewItemInShrunkenZone(t *testing.T) {
+	const before, after, sentTo = 9, 3, 6 // members, members, members that the older item was sent to
+	d := newDirectory(before, before)
+	for _, name := range []string{"older", "newer"} {
+		if _, err := d.Publish(start, name, "v"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	d.items[recordKey("older")].transmits = sentTo
+	local := localOf(after)
+	local.Revision = 2
+	sent := map[string]int{}
+	for _, out := range d.Tick(start+gossipInterval+gossipJitter, local) {
+		for _, item := range out.Message.Items {
+			if item.Record != nil {
+				sent[item.Record.Name]++
+			}
+		}
+	}
+	if sent["older"] > 0 || sent["newer"] == 0 {
+		t.Errorf("one round of gossip sent %v", sent)
+	}
+}
