Log and count how the watch of discovery stands and how old the list is

Change: discovery.Client reports each transition of its subscription (none, subscribing, established, renewing, retrying) with reason, generation, age of the list and silence; updates are logged with their counts by state; the statistics carry the same, and calls and failures.

--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -48,6 +48,7 @@
 
 // start connects and sends the request. A failure is reported in a later turn of the loop, never to the caller.
 func (c *call) start(target string) {
+	c.client.calls++
 	c.setTimeout(callTimeout)
 	conn, err := c.client.loop.Dial(c.client.addr, c)
 	if err != nil {
@@ -89,6 +90,7 @@
 			c.fail(err)
 			return
 		}
+		c.client.lastByteAt = c.client.loop.Now()
 		c.receive(c.client.readBuffer[:n])
 	}
 }
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -31,6 +31,9 @@
 	Listed(update Update)
 	// Failed reports that a call failed or that the watch ended, with the reason.
 	Failed(reason error)
+	// WatchChanged reports a new state of the subscription and the one before it, with the reason if a failure is the
+	// cause, else nil. It comes before Listed or Failed of the same event, and must not call the Client but for Status.
+	WatchChanged(before WatchState, now Status, reason error)
 }
 
 // Client watches or fetches the server list. All of its methods must be called on the event loop.
@@ -50,6 +53,11 @@
 	retryUntil     eventloop.Micros // until when a failed watch at a changed address is retried
 	retryTimer     eventloop.Ref
 
+	calls         int              // made so far
+	reportedState WatchState       // the last one that the watcher was told
+	lastObjectAt  eventloop.Micros // 0: none has come
+	lastByteAt    eventloop.Micros // of any call; 0: none has come
+
 	readBuffer []byte
 }
 
@@ -90,6 +98,7 @@
 	d.loop.Cancel(&d.retryTimer)
 	d.pendingWatch = newCall(d, callSubscribing)
 	d.pendingWatch.start(fmt.Sprintf("%s?stream=1&index=%d", targetsPath, d.resumeGeneration()))
+	d.reportState(nil)
 }
 
 // resumeGeneration is the generation after which a new watch starts; 0 requests the full list. Generations of another
@@ -123,6 +132,7 @@
 	}
 	d.watch = nil
 	d.pendingWatch = nil
+	d.reportState(nil)
 }
 
 // Fetch requests the full list once.
@@ -142,8 +152,10 @@
 		return err
 	}
 	d.generation = update.Generation
+	d.lastObjectAt = d.loop.Now()
 	if first {
 		d.establish(c)
+		d.reportState(nil)
 	}
 	d.watcher.Listed(update)
 	return nil
@@ -175,6 +187,7 @@
 	switch state {
 	case callWatching:
 		d.watch = nil
+		d.reportState(reason)
 		if d.pendingWatch != nil || d.retryTimer != 0 {
 			return
 		}
@@ -182,8 +195,10 @@
 		d.pendingWatch = nil
 		if d.retriesChangedAddress() {
 			d.retryTimer = d.loop.After(addressChangeRetryDelay, d.Watch)
+			d.reportState(reason)
 			return
 		}
+		d.reportState(reason)
 	}
 	d.watcher.Failed(reason)
 }
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -13,7 +13,15 @@
 )
 
 // recordingWatcher is a Watcher that records a text for each update or failure.
-type recordingWatcher struct{ events chan string }
+// Its states are the transitions of the subscription, which only some tests read.
+type recordingWatcher struct {
+	events chan string
+	states chan string
+}
+
+func newRecordingWatcher() recordingWatcher {
+	return recordingWatcher{make(chan string, 100), make(chan string, 100)}
+}
 
 func (w recordingWatcher) Listed(c Update) {
 	text := fmt.Sprint(c.Generation)
@@ -25,6 +33,10 @@
 
 func (w recordingWatcher) Failed(error) { w.events <- "failed" }
 
+func (w recordingWatcher) WatchChanged(before WatchState, now Status, _ error) {
+	w.states <- fmt.Sprintf("%v->%v", before, now.State)
+}
+
 func (w recordingWatcher) want(t *testing.T, text string) {
 	t.Helper()
 	select {
@@ -84,7 +96,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := recordingWatcher{make(chan string, 100)}
+	w := newRecordingWatcher()
 	d := NewClient(l, f.addr(), NewServerList(), w)
 	done := make(chan error, 1)
 	go func() { done <- l.Run() }()
@@ -207,7 +219,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	w := recordingWatcher{make(chan string, 100)}
+	w := newRecordingWatcher()
 	d := NewClient(l, netip.AddrPort{}, NewServerList(), w)
 	d.pendingWatch = newCall(d, callSubscribing)
 	return d.pendingWatch, w
@@ -302,3 +314,27 @@
 	_, _ = live.Write([]byte(chunk(`{"generation":4,"instances":[` + one + `]}`)))
 	w.want(t, "4 s1")
 }
+
+// The states of a subscription and what is known of the list, from the first request to the end of the watch.
+func TestWatchStatesAreReported(t *testing.T) {
+	f, w, l, d, conn := watching(t)
+	l.Post(d.Watch)
+	second := f.call("/api/targets?stream=1&index=41", watchHead+chunk(`{"generation":42,"instances":[`+one+`]}`))
+	w.want(t, "42 s1")
+	_ = conn.Close()
+	_ = second.Close()
+	w.want(t, "failed")
+	for _, want := range []string{
+		"none->subscribing", "subscribing->established", "established->renewing", "renewing->established",
+		"established->none",
+	} {
+		if got := <-w.states; got != want {
+			t.Fatalf("state %s, want %s", got, want)
+		}
+	}
+	got := make(chan Status)
+	l.Post(func() { got <- d.Status() })
+	if s := <-got; s.State != WatchNone || s.Generation != 42 || s.Calls != 2 || s.ListAge < 0 || s.Silence < 0 {
+		t.Errorf("%+v", s)
+	}
+}
--- a/internal/logging/fields.go
+++ b/internal/logging/fields.go
@@ -9,6 +9,21 @@
 	Count     = "count"     // servers in the list that the message is about
 )
 
+// Fields about discovery: how a watch stands, and how old the list is.
+const (
+	WatchState         = "watch"            // state of the watch: none, subscribing, established, renewing, retrying
+	PreviousWatch      = "watch_before"     // state of the watch before the change
+	Generation         = "generation"       // of the server list in use
+	ListAge            = "list_age_ms"      // since discovery's last object; -1: none has come
+	WatchSilence       = "watch_silence_ms" // since the last byte from discovery; -1: none has come
+	DiscoveryCalls     = "discovery_calls"  // counter: calls of discovery
+	DiscoveryFailures  = "discovery_failed" // counter: calls that failed, and watches that ended
+	FullList           = "full"             // the update names all servers
+	ReadyServers       = "ready"            // servers of the update that are ready
+	TerminatingServers = "terminating"      // servers of the update that are draining
+	GoneServers        = "gone"             // servers of the update that are not listed any more
+)
+
 // Fields about connections, as they are now.
 const (
 	Connections = "connections" // client connections with a request, waiting or established
--- a/internal/proxy/serverlist.go
+++ b/internal/proxy/serverlist.go
@@ -2,14 +2,17 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 
 	"spurspread/decision"
 	"spurspread/decision/monotime"
 	"spurspread/decision/timeouts"
 	"spurspread/internal/discovery"
+	"spurspread/internal/logging"
 )
 
 const (
@@ -27,6 +30,7 @@
 	list          *discovery.ServerList
 	client        *discovery.Client
 	saveScheduled bool
+	failures      int // of calls of discovery, and of established watches
 }
 
 func newServerDirectory(p *Proxy) serverDirectory {
@@ -65,6 +69,7 @@
 // Listed is part of discovery.Watcher: the list has changed.
 func (d *serverDirectory) Listed(update discovery.Update) {
 	p := d.proxy
+	d.logUpdate(update)
 	kind := decision.UpdateDelta
 	if update.Full {
 		kind = decision.UpdateFull
@@ -81,13 +86,67 @@
 // Failed is part of discovery.Watcher: a call failed or the watch broke.
 func (d *serverDirectory) Failed(err error) {
 	p := d.proxy
-	p.log.WithError(err).Warn("discovery failed")
+	d.failures++
+	p.log.WithFields(d.statusFields(d.client.Status())).WithError(err).Warn("discovery failed")
 	p.core.dispatch(decision.ServerListUpdate{Kind: decision.UpdateFailed})
 	if !p.cfg.Settings.Decision.PollDiscovery {
 		p.loop.After(timeouts.Rewatch, d.watchIfPushed)
 	}
 }
 
+// WatchChanged is part of discovery.Watcher: the subscription is in another state.
+func (d *serverDirectory) WatchChanged(before discovery.WatchState, now discovery.Status, reason error) {
+	entry := d.proxy.log.WithFields(d.statusFields(now)).WithField(logging.PreviousWatch, before.String())
+	if reason != nil {
+		entry = entry.WithError(reason)
+	}
+	entry.Info("discovery watch changed")
+}
+
+// logUpdate logs an update of the list that names servers: how many, by their new states.
+func (d *serverDirectory) logUpdate(update discovery.Update) {
+	if len(update.Servers) == 0 && !update.Full {
+		return
+	}
+	var states [discovery.Gone + 1]int
+	for _, server := range update.Servers {
+		states[server.State]++
+	}
+	d.proxy.log.WithFields(logrus.Fields{
+		logging.Generation:         update.Generation,
+		logging.FullList:           update.Full,
+		logging.ReadyServers:       states[discovery.Ready],
+		logging.TerminatingServers: states[discovery.Terminating],
+		logging.GoneServers:        states[discovery.Gone],
+	}).Info("server list updated")
+}
+
+// statusFields are what is known of discovery, as fields of the log.
+func (d *serverDirectory) statusFields(status discovery.Status) logrus.Fields {
+	return logrus.Fields{
+		logging.WatchState:   status.State.String(),
+		logging.Generation:   status.Generation,
+		logging.ListAge:      milliseconds(status.ListAge),
+		logging.WatchSilence: milliseconds(status.Silence),
+	}
+}
+
+// addStats adds what is known of discovery to the statistics.
+func (d *serverDirectory) addStats(fields logrus.Fields) {
+	status := d.client.Status()
+	maps.Copy(fields, d.statusFields(status))
+	fields[logging.DiscoveryCalls] = status.Calls
+	fields[logging.DiscoveryFailures] = d.failures
+}
+
+// milliseconds converts an age for the log; -1 stays.
+func milliseconds(age monotime.Micros) int64 {
+	if age < 0 {
+		return -1
+	}
+	return int64(age / monotime.Millisecond)
+}
+
 // save gives the whole list to whoever keeps it.
 func (d *serverDirectory) save() {
 	d.saveScheduled = false
--- a/internal/proxy/stats.go
+++ b/internal/proxy/stats.go
@@ -42,6 +42,7 @@
 		logging.Evicted:        p.stats.evicted,
 		logging.TransferredIn:  p.stats.transferredIn,
 	}
+	p.servers.addStats(fields)
 	p.resumption.addStats(fields)
 	p.addChannelStats(fields)
 	p.log.WithFields(fields).Info("statistics")
