A restarted balancer asks discovery before it places by an old list

Cause: polling.Schedule.Start spread first polls over a cycle of up to 10 s, whatever requests came; the list of the start may have been outdated for long. Change: with a request to place, the first poll comes in this balancer's turn within the grace of drains less 0.8 s, at least 1 s; after that, requests are held until discovery has answered, failed, or takes over 0.6 s. Idle balancers keep the long cycle, so the checks of how much discovery is asked stay as they are; a row with requests is added. TestRestartedFleetLeavesRemovedServer and TestFirstRequestWaitsForDiscovery failed before.

--- a/decision/admission.go
+++ b/decision/admission.go
@@ -21,7 +21,7 @@
 		return
 	}
 	var s *server
-	if b.setupAllowed() {
+	if b.listUsable(now) && b.setupAllowed() {
 		s = b.pickServer(now, r)
 	}
 	if s == nil {
--- a/decision/discovery.go
+++ b/decision/discovery.go
@@ -82,6 +82,17 @@
 	}
 }
 
+// listUsable decides whether requests may be placed by the server list that is held, and polls discovery soon where
+// a process that has just started needs its first answer for that.
+func (b *Balancer) listUsable(now Micros) bool {
+	if !b.settings.PollDiscovery {
+		return true
+	}
+	b.polling.RequestConfirmation(now)
+	b.pollDiscovery(now)
+	return b.polling.ListUsable(now)
+}
+
 // refreshListIfLongUnhealthy schedules a poll of discovery if a listed server has been Unhealthy for
 // longUnhealthyAfter: it may be gone, and a missed update would explain it. The polling schedule bounds how often
 // that happens.
--- a/decision/discovery_test.go
+++ b/decision/discovery_test.go
@@ -20,3 +20,44 @@
 		t.Fatalf("%d polls within the fleet's spread time", n)
 	}
 }
+
+// A fleet that starts with a list in which a server is gone since before: whatever the time of a balancer's first
+// request, none is sent to that server once the grace of drains has passed, and discovery answers all.
+func TestRestartedFleetLeavesRemovedServer(t *testing.T) {
+	const removed = 1
+	for _, n := range []int{3, 80, 300} {
+		for seed := range uint64(fleetSeeds) {
+			s := testSettings()
+			s.PollDiscovery, s.DrainGrace = true, 2500*ms
+			m := newBalancerFleet(t, n, s, serverList(3, 3), seed)
+			answered := map[int]bool{}
+			m.onAction = func(i int, action Action) {
+				switch action := action.(type) {
+				case WatchDiscovery:
+					m.after(10*ms, func() {
+						answered[i] = true
+						gone := []ServerEntry{{Server: removed, StableID: stableID(removed), State: Removed}}
+						m.handle(i, ServerListUpdate{Kind: UpdateDelta, Entries: gone})
+					})
+				case StartAttempt:
+					if action.Server == removed && m.now > start+s.DrainGrace {
+						t.Fatalf("%d balancers, seed %d: %d sends to the removed server after %d ms",
+							n, seed, i, (m.now-start)/ms)
+					}
+				}
+			}
+			for i := range n {
+				firstRequest := Micros(m.balancers[i].rng.Uint64() % uint64(15*sec))
+				m.after(firstRequest, func() {
+					for id := range uint32(5) {
+						m.handle(i, Request{ID: id, TimeLeft: 2 * sec})
+					}
+				})
+			}
+			m.run(start + 18*sec)
+			if len(answered) != n {
+				t.Errorf("%d balancers, seed %d: %d have an answer", n, seed, len(answered))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/decision/polling/confirmation_test.go
@@ -0,0 +1,88 @@
+package polling
+
+import (
+	"testing"
+
+	"spurspread/decision/monotime"
+)
+
+// playFirstRequest has a process get its first request after a time, and returns how long after its start it polls.
+func playFirstRequest(t *testing.T, s *Schedule, firstRequest monotime.Micros) (pollAfter monotime.Micros) {
+	t.Helper()
+	for now := monotime.Micros(start); now < start+60*second; now += maxCheckInterval {
+		if requestNow := max(now, start+firstRequest); requestNow < now+maxCheckInterval {
+			s.RequestConfirmation(requestNow)
+			if s.PollDue(requestNow) {
+				return requestNow - start
+			}
+		}
+		if s.PollDue(now) {
+			return now - start
+		}
+	}
+	t.Fatal("never polled")
+	return 0
+}
+
+// A process that has requests polls before its list may have been outdated for Grace, or with its first request.
+func TestFirstRequestBringsFirstPollForward(t *testing.T) {
+	for _, n := range []int{1, 3, 80, 300, 1500} {
+		for rank := range n {
+			for _, first := range []monotime.Micros{0, second, 5 * second} {
+				s := startedSchedule(rank, n)
+				most := max(s.Grace-latenessMargin, first)
+				if after := playFirstRequest(t, s, first); after > most {
+					t.Fatalf("%d of %d, first request after %d ms: polls after %d", rank, n, first/ms, after/ms)
+				}
+			}
+		}
+	}
+}
+
+// Balancers that all have requests from their start on spread their first polls, but for those whose turn in the longer
+// cycle of idle ones comes first.
+func TestFirstPollsAreSpread(t *testing.T) {
+	const n, parts = 300, 4
+	var polls [parts]int
+	for rank := range n {
+		s := startedSchedule(rank, n)
+		s.RequestConfirmation(start)
+		polls[(s.nextPoll-start)*parts/(s.confirmationTime()+1)]++
+	}
+	for part, got := range polls {
+		if got > n/parts*5/4 {
+			t.Errorf("%d of %d polls in quarter %d", got, n, part)
+		}
+	}
+}
+
+// The list of the start is usable for confirmationTime, then after an answer, a failure, or a poll that takes long.
+func TestListUsable(t *testing.T) {
+	late := start + startedSchedule(0, 3).confirmationTime()
+	for name, c := range map[string]struct {
+		then func(*Schedule)
+		want bool
+	}{
+		"never polled": {func(*Schedule) {}, false},
+		"polled":       {func(s *Schedule) { s.PollDue(late) }, false},
+		"polled long ago": {func(s *Schedule) {
+			s.RequestConfirmation(start)
+			s.PollDue(late - confirmationPatience)
+		}, true},
+		"answered": {func(s *Schedule) { s.Answered(late) }, true},
+		"failed":   {func(s *Schedule) { s.Failed(late) }, true},
+		"watch failed later": {func(s *Schedule) {
+			s.Answered(late)
+			s.Failed(late)
+		}, true},
+	} {
+		s := startedSchedule(0, 3)
+		if !s.ListUsable(late - 1) {
+			t.Errorf("%s: not usable at first", name)
+		}
+		s.RequestConfirmation(late)
+		if c.then(s); s.ListUsable(late) != c.want {
+			t.Errorf("%s: usable %v", name, !c.want)
+		}
+	}
+}
--- a/decision/polling/doc.go
+++ b/decision/polling/doc.go
@@ -10,4 +10,7 @@
 // must stop acting on an older list. A failure does not show whether discovery is away or has too many callers, so
 // a cycle grows beyond that only after several failures in a row, and not where discovery was seen to answer quickly
 // enough for all balancers.
+//
+// A process that has just started holds a list of unknown age. Once it has requests to place it polls before that list
+// may have been outdated for Grace, and from then on places none until discovery has answered or failed.
 package polling
--- a/decision/polling/polling.go
+++ b/decision/polling/polling.go
@@ -67,6 +67,10 @@
 	// Jitter draws a time between 0 and limit.
 	Jitter func(limit monotime.Micros) monotime.Micros
 
+	startedAt             monotime.Micros
+	confirmed             bool // discovery has answered since the start
+	confirmationRequested bool // a request needs the first answer
+
 	watching       bool            // discovery has answered, and the watch has not failed since
 	pollInFlight   bool            // a poll has neither been answered nor failed
 	refreshPending bool            // poll at nextPoll although watching
@@ -81,6 +85,7 @@
 
 // Start schedules the first poll, in this balancer's turn.
 func (s *Schedule) Start(now monotime.Micros) {
+	s.startedAt = now
 	s.lastAnswer = now
 	s.nextPoll = s.nextTurn(now, s.SpreadTime())
 }
@@ -106,6 +111,7 @@
 		s.recordAnswerTime(max(now-s.lastPoll, 1))
 	}
 	s.pollInFlight = false
+	s.confirmed = true
 	s.watching = true
 	s.failures = 0
 	s.lateFailures = 0
--- a/internal/proxy/serverlist_test.go
+++ b/internal/proxy/serverlist_test.go
@@ -1,10 +1,14 @@
 package proxy
 
 import (
+	"net"
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
+	"spurspread/decision"
+	"spurspread/decision/monotime"
 	"spurspread/internal/discovery"
 )
 
@@ -50,3 +54,33 @@
 		t.Errorf("%q", <-kept)
 	}
 }
+
+// A process whose first request comes long after its start does not send it by the list that it started with: it asks
+// discovery first, and the server that is gone meanwhile gets nothing.
+func TestFirstRequestWaitsForDiscovery(t *testing.T) {
+	a := newAgent(t)
+	a.g = newHarnessWithCore(t, 1, func(cfg *Config) { cfg.Discovery = a.addr() })
+	g := a.g
+	now, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	g.check(err)
+	t.Cleanup(func() { _ = now.Close() })
+	g.inLoop(func() {
+		startedAt := g.loop.Now() - 5*monotime.Second
+		g.core = decision.New(g.proxy.cfg.Settings.Decision, 1, startedAt)
+		cached, err := g.proxy.servers.list.Apply(g.cachedList)
+		g.check(err)
+		g.proxy.core.dispatch(g.proxy.servers.event(decision.UpdateCached, cached))
+	})
+	client := g.client(openLine)
+	a.watch(1, `{"generation":2,"instances":[{"instanceId":"s0","lifecycle":"Gone"},`+
+		listEntry("s1", now.Addr().String(), "Ready")+`]}`)
+	g.check(now.SetDeadline(time.Now().Add(patience)))
+	server := g.peer(now.Accept())
+	server.line()
+	server.say("UP r1\r\n")
+	client.want("UP r1\r\n")
+	g.check(g.servers[0].SetDeadline(time.Now()))
+	if _, err := g.servers[0].Accept(); !isTimeout(err) {
+		t.Errorf("the server that is gone got a connection, %v", err)
+	}
+}
