Count by cause and class what the balancer itself answers

A first line that can't be served leaves a reason. Where no slot is free the answer now counts as rejected, too. attemptAllowed and retryAllowed became attemptForbidden and retryForbidden, which return the cause.

--- a/decision/actions.go
+++ b/decision/actions.go
@@ -1,5 +1,7 @@
 package decision
 
+import "spurspread/decision/answercause"
+
 // Action is something that the caller of Balancer.Handle has to do: one of the types below.
 type Action interface{ isAction() }
 
@@ -22,9 +24,13 @@
 	Reject struct {
 		ID         uint32
 		RetryAfter Micros // 0: not stated
+		Cause      answercause.Cause
 	}
 	// Fail is a final answer that does not say whether the request was executed.
-	Fail struct{ ID uint32 }
+	Fail struct {
+		ID    uint32
+		Cause answercause.Cause
+	}
 	// CancelAttempt cancels an attempt that is not established. Its AttemptEnded is still reported.
 	CancelAttempt struct {
 		ID      uint32
--- a/decision/admission.go
+++ b/decision/admission.go
@@ -1,5 +1,7 @@
 package decision
 
+import "spurspread/decision/answercause"
+
 const (
 	// answerMargin is how long before the request's time is up its final answer leaves: time to reach the client.
 	answerMargin = 12 * ms
@@ -12,12 +14,16 @@
 )
 
 // placeRequest decides what happens to a request that waits: it is sent to a server, held until one has capacity, or
-// given its final answer. That is given where its time is up, where no further attempt is allowed (attemptAllowed), and
-// where the set-up is rejected (rejectSetup).
+// given its final answer. That is given where its time is up, where no further attempt is allowed (attemptForbidden),
+// and where the set-up is rejected (rejectSetup).
 func (b *Balancer) placeRequest(now Micros, r *request) {
 	timeLeft := r.deadline - now
-	if timeLeft <= 0 || !b.attemptAllowed(now, r) {
-		b.answerFinally(r)
+	if timeLeft <= 0 {
+		b.answerFinally(r, b.timeUpCause(now, r))
+		return
+	}
+	if cause, forbidden := b.attemptForbidden(now, r); forbidden {
+		b.answerFinally(r, cause)
 		return
 	}
 	var s *server
@@ -29,7 +35,7 @@
 		return
 	}
 	if b.rejectSetup() {
-		b.answerFinally(r)
+		b.answerFinally(r, answercause.Shed)
 		return
 	}
 	b.startAttempt(now, r, s)
@@ -81,16 +87,36 @@
 	b.emit(start)
 }
 
-// answerFinally gives the request its final answer: Reject where a retry by the client repeats no effect, else
-// Fail. That depends on the class's idempotency and on whether any attempt may have executed, or is still under
-// way.
-func (b *Balancer) answerFinally(r *request) {
+// timeUpCause returns why a request is not established when its time is up: what it is held for now, or an attempt
+// that took too long.
+func (b *Balancer) timeUpCause(now Micros, r *request) answercause.Cause {
+	if r.state != requestWaiting || r.attempts > 0 {
+		return answercause.AttemptTimedOut
+	}
+	if b.settings.PollDiscovery && !b.polling.ListUsable(now) {
+		return answercause.ListUnconfirmed
+	}
+	if !b.setupAllowed() {
+		return answercause.SetupLimit
+	}
+	for _, s := range b.servers {
+		if b.mayServe(now, r, s) {
+			return answercause.NoCapacity
+		}
+	}
+	return answercause.NoReadyServer
+}
+
+// answerFinally gives the request its final answer, with its cause: Reject where a retry by the client repeats no
+// effect, else Fail. That depends on the class's idempotency and on whether any attempt may have executed, or is still
+// under way.
+func (b *Balancer) answerFinally(r *request, cause answercause.Cause) {
 	uncertain := r.attemptHistory.MayHaveExecuted() || r.server != nil
 	b.endRequest(r)
 	if r.class.RetryPolicy().ClientRetrySafe(uncertain) {
-		b.emit(Reject{ID: r.id, RetryAfter: b.retryAfter()})
+		b.emit(Reject{ID: r.id, RetryAfter: b.retryAfter(), Cause: cause})
 	} else {
-		b.emit(Fail{ID: r.id})
+		b.emit(Fail{ID: r.id, Cause: cause})
 	}
 }
 
--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -102,7 +102,7 @@
 	case RequestCancelled:
 		b.onRequestCancelled(ev)
 	case RequestExpired:
-		b.onDeadline(ev.ID)
+		b.onDeadline(now, ev.ID)
 	case TimerFired:
 		b.onTimerFired(now, ev)
 	case ProbeResult:
--- a/decision/lifecycle/command.go
+++ b/decision/lifecycle/command.go
@@ -20,6 +20,9 @@
 	CommandMembers
 	// CommandRecord publishes a small named value to the whole fleet. It does not change the state.
 	CommandRecord
+	// CommandUnserved counts the final answers that the balancer itself gave, by class and cause. It does not change
+	// the state.
+	CommandUnserved
 )
 
 // Command is a command with its arguments, which only CommandRecord has.
@@ -100,6 +103,8 @@
 		return Command{Kind: CommandRejoin}, nil
 	case "MEMBERS":
 		return Command{Kind: CommandMembers}, nil
+	case "UNSERVED":
+		return Command{Kind: CommandUnserved}, nil
 	case "RECORD":
 		return Command{Kind: CommandRecord}, nil
 	}
--- a/decision/lifecycle/state.go
+++ b/decision/lifecycle/state.go
@@ -31,11 +31,11 @@
 }
 
 // Apply decides the transition of a command in a state. PING changes nothing and succeeds until the balancer stops.
-// LAMEDUCK while draining and REJOIN while serving succeed and change nothing; after SIGTERM both fail. MEMBERS and
-// RECORD are unknown here: a balancer that is a member of a fleet handles them before.
+// LAMEDUCK while draining and REJOIN while serving succeed and change nothing; after SIGTERM both fail. MEMBERS,
+// RECORD and UNSERVED are unknown here: whoever can answer them handles them before.
 func Apply(s State, kind CommandKind) Transition {
 	switch {
-	case kind == CommandMembers || kind == CommandRecord:
+	case kind == CommandMembers || kind == CommandRecord || kind == CommandUnserved:
 		return unchanged(s, "-ERR "+ErrUnknownCommand.Error())
 	case s == Stopping:
 		return unchanged(s, "-ERR stopping")
--- a/decision/overload/overload.go
+++ b/decision/overload/overload.go
@@ -2,7 +2,10 @@
 // is shutting down: before the core places a request, and without it. It has no sockets; the caller counts.
 package overload
 
-import "spurspread/decision/monotime"
+import (
+	"spurspread/decision/answercause"
+	"spurspread/decision/monotime"
+)
 
 const (
 	// ReservedDescriptors are kept free for the runtime, on top of a part of all.
@@ -78,9 +81,17 @@
 	MaxHeld       int  // how many it may have
 }
 
-// RejectsRequest reports whether a request is rejected before the core hears of it.
-func RejectsRequest(a Arrival) bool {
-	return a.AcceptedShort || a.ShuttingDown || a.Held > a.MaxHeld
+// RejectsRequest reports whether a request is rejected before the core hears of it, and why.
+func RejectsRequest(a Arrival) (cause answercause.Cause, rejected bool) {
+	switch {
+	case a.AcceptedShort:
+		return answercause.DescriptorsShort, true
+	case a.ShuttingDown:
+		return answercause.ShuttingDown, true
+	case a.Held > a.MaxHeld:
+		return answercause.TooManyHeld, true
+	}
+	return answercause.Unknown, false
 }
 
 // EvictionClass is a class of idle connections. When a descriptor is needed, the oldest of the lowest class goes first.
--- a/decision/overload/overload_test.go
+++ b/decision/overload/overload_test.go
@@ -5,6 +5,7 @@
 
 	"pgregory.net/rapid"
 
+	"spurspread/decision/answercause"
 	"spurspread/decision/monotime"
 )
 
@@ -47,14 +48,15 @@
 	for name, c := range map[string]struct {
 		arrival Arrival
 		want    bool
+		cause   answercause.Cause
 	}{
-		"as usual":          {Arrival{Held: 5, MaxHeld: 5}, false},
-		"one too many":      {Arrival{Held: 6, MaxHeld: 5}, true},
-		"descriptors short": {Arrival{AcceptedShort: true, Held: 1, MaxHeld: 5}, true},
-		"shutting down":     {Arrival{ShuttingDown: true, Held: 1, MaxHeld: 5}, true},
+		"as usual":          {Arrival{Held: 5, MaxHeld: 5}, false, answercause.Unknown},
+		"one too many":      {Arrival{Held: 6, MaxHeld: 5}, true, answercause.TooManyHeld},
+		"descriptors short": {Arrival{AcceptedShort: true, Held: 1, MaxHeld: 5}, true, answercause.DescriptorsShort},
+		"shutting down":     {Arrival{ShuttingDown: true, Held: 1, MaxHeld: 5}, true, answercause.ShuttingDown},
 	} {
-		if got := RejectsRequest(c.arrival); got != c.want {
-			t.Errorf("%s: %v, want %v", name, got, c.want)
+		if cause, got := RejectsRequest(c.arrival); got != c.want || cause != c.cause {
+			t.Errorf("%s: %v, %v, want %v, %v", name, got, cause, c.want, c.cause)
 		}
 	}
 }
--- a/decision/requests.go
+++ b/decision/requests.go
@@ -1,6 +1,7 @@
 package decision
 
 import (
+	"spurspread/decision/answercause"
 	"spurspread/decision/outcome"
 	"spurspread/decision/retry"
 )
@@ -226,7 +227,7 @@
 		return
 	}
 	if needsConfirmation && r.erroredServer != nil {
-		b.answerFinally(r)
+		b.answerFinally(r, answercause.ErrorConfirmed)
 		return
 	}
 	if needsConfirmation {
--- a/decision/retries.go
+++ b/decision/retries.go
@@ -1,6 +1,9 @@
 package decision
 
-import "spurspread/decision/outcome"
+import (
+	"spurspread/decision/answercause"
+	"spurspread/decision/outcome"
+)
 
 const (
 	// retryTokensPerRequest is what each request adds to the retry budget, in retries.
@@ -20,17 +23,21 @@
 	minSplitAttempts = 2
 )
 
-// attemptAllowed reports whether a further attempt may be started for r, at any server. It needs an attempt left
-// under Settings.MaxAttempts and the consent of the class's retry policy; a pinned request gets one attempt only,
-// and any but the first needs what retryAllowed says.
-func (b *Balancer) attemptAllowed(now Micros, r *request) bool {
-	if r.attempts >= b.settings.MaxAttempts || r.class.RetryPolicy().RetryForbidden(&r.attemptHistory, now) {
-		return false
+// attemptForbidden reports whether no further attempt may be started for r, at any server, and why. An attempt needs
+// one left under Settings.MaxAttempts and the consent of the class's retry policy; a pinned request gets one attempt
+// only, and any but the first needs what retryForbidden says.
+func (b *Balancer) attemptForbidden(now Micros, r *request) (cause answercause.Cause, forbidden bool) {
+	switch {
+	case r.attempts >= b.settings.MaxAttempts:
+		return answercause.AttemptsUsed, true
+	case r.class.RetryPolicy().RetryForbidden(&r.attemptHistory, now):
+		return answercause.RetryForbidden, true
+	case r.pinnedTo != nil && !pinnedAttemptAllowed(now, r):
+		return answercause.PinnedUnavailable, true
+	case r.attempts > 0:
+		return b.retryForbidden()
 	}
-	if r.pinnedTo != nil && !pinnedAttemptAllowed(now, r) {
-		return false
-	}
-	return r.attempts == 0 || b.retryAllowed()
+	return answercause.Unknown, false
 }
 
 // pinnedAttemptAllowed reports whether a pinned request may be sent to its server: once, if that is Ready and at
@@ -40,10 +47,16 @@
 	return r.attempts == 0 && r.pinnedTo.State == Ready && r.deadline-now >= minAttemptTimeout
 }
 
-// retryAllowed reports whether the fleet's condition allows a retry. It needs one token of the retry budget, and
-// failures that are not shared by all servers: retrying those only adds load.
-func (b *Balancer) retryAllowed() bool {
-	return b.retryTokens >= 1 && !b.setups.FailuresShared()
+// retryForbidden reports whether the fleet's condition forbids a retry, and why. A retry needs one token of the retry
+// budget, and failures that are not shared by all servers: retrying those only adds load.
+func (b *Balancer) retryForbidden() (cause answercause.Cause, forbidden bool) {
+	switch {
+	case b.retryTokens < 1:
+		return answercause.RetryBudget, true
+	case b.setups.FailuresShared():
+		return answercause.FailuresShared, true
+	}
+	return answercause.Unknown, false
 }
 
 // maxRetryTokens is the bound of this balancer's retry budget, in retries: its share of the fleet's.
--- a/decision/timers.go
+++ b/decision/timers.go
@@ -32,20 +32,20 @@
 	case tickTimer:
 		b.onTick(now)
 	case deadlineTimer:
-		b.onDeadline(ev.Token.requestID())
+		b.onDeadline(now, ev.Token.requestID())
 	case holdTimer:
 		b.onHoldEnded(now, ev.Token.requestID())
 	}
 }
 
 // onDeadline gives the final answer to a request that has had none.
-func (b *Balancer) onDeadline(id uint32) {
+func (b *Balancer) onDeadline(now Micros, id uint32) {
 	r := b.requests[id]
 	if r == nil {
 		return
 	}
 	if r.state == requestWaiting || r.state == requestConnecting {
-		b.answerFinally(r)
+		b.answerFinally(r, b.timeUpCause(now, r))
 	}
 }
 
--- a/internal/layering/layering_test.go
+++ b/internal/layering/layering_test.go
@@ -28,6 +28,7 @@
 	"spurspread/decision/outcome",
 	"spurspread/decision/backoff",
 	"spurspread/decision/splitmix",
+	"spurspread/decision/answercause",
 }
 
 // corePolicies are the policies that the core asks. They know neither it nor each other.
--- a/internal/logging/fields.go
+++ b/internal/logging/fields.go
@@ -37,6 +37,7 @@
 	Established    = "established"     // connections that were established with a server
 	Rejected       = "rejected"        // requests rejected
 	Failed         = "failed"          // requests answered with a failure
+	Unserved       = "unserved_"       // followed by cause and class, one field each that is not 0
 	Moved          = "moved"           // clients that were sent MOVE
 	Unresponsive   = "unresponsive"    // connections closed because the server sent nothing back in time
 	ProtocolErrors = "protocol_errors" // replies of servers, or connections with channels, that broke the protocol
--- a/internal/proxy/dispatcher.go
+++ b/internal/proxy/dispatcher.go
@@ -58,11 +58,11 @@
 		}
 	case decision.Reject:
 		if r, ok := p.requests.get(action.ID); ok {
-			r.reject(action.RetryAfter)
+			r.reject(action.RetryAfter, action.Cause)
 		}
 	case decision.Fail:
 		if r, ok := p.requests.get(action.ID); ok {
-			r.fail()
+			r.fail(action.Cause)
 		}
 	case decision.CancelAttempt:
 		if r, ok := p.requests.get(action.ID); ok {
--- a/internal/proxy/downstream.go
+++ b/internal/proxy/downstream.go
@@ -6,6 +6,7 @@
 	"io"
 	"slices"
 
+	"spurspread/decision/answercause"
 	"spurspread/decision/monotime"
 	"spurspread/decision/overload"
 	"spurspread/decision/timeouts"
@@ -129,7 +130,7 @@
 	verb := lineproto.ParseVerb(text)
 	switch {
 	case err != nil:
-		c.fail()
+		c.fail(answercause.Malformed)
 	case n == 0:
 		if had == 0 && c.pings > 0 {
 			c.expireAfter(timeouts.FirstLine) // a further line has begun
@@ -140,7 +141,7 @@
 		c.openRequest(text)
 	default:
 		// This includes what has more bytes behind it: clients and health checkers wait for each answer.
-		c.fail()
+		c.fail(unservableCause(verb))
 	}
 }
 
@@ -162,9 +163,19 @@
 	}
 }
 
-// fail answers a first line that can't be served.
-func (c *downstreamConn) fail() {
+// unservableCause is why a complete first line that is no ping can't be served: it is not one, or its client has sent
+// more before its answer.
+func unservableCause(verb lineproto.ClientVerb) answercause.Cause {
+	if verb == lineproto.VerbOpen || verb == lineproto.VerbPing {
+		return answercause.ClientTooEarly
+	}
+	return answercause.Malformed
+}
+
+// fail answers a first line that can't be served, for a cause that is counted.
+func (c *downstreamConn) fail(cause answercause.Cause) {
 	c.proxy.stats.failed++
+	c.proxy.stats.unserved.add("", cause)
 	c.sendFinal([]byte("ERR\r\n"))
 	c.closeGracefully()
 }
@@ -209,7 +220,7 @@
 		return
 	}
 	if len(c.firstLine) > 0 {
-		c.fail() // a request has begun
+		c.fail(answercause.Malformed) // a request has begun
 		return
 	}
 	c.closeGracefully()
--- a/internal/proxy/downstream_mux.go
+++ b/internal/proxy/downstream_mux.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 
+	"spurspread/decision/answercause"
 	"spurspread/decision/keepalive"
 	"spurspread/decision/monotime"
 	"spurspread/decision/overload"
@@ -168,6 +169,7 @@
 		return 0, ""
 	}
 	p.stats.rejected++
+	p.stats.unserved.add("", answercause.ChannelLimit)
 	busy := lineproto.AppendBusy(nil, millisRoundedUp(timeouts.RejectRetryAfter))
 	return channel.NoResources, string(bytes.TrimRight(busy, lineEnd))
 }
@@ -178,6 +180,7 @@
 	text, err := channel.String(data)
 	if err != nil || !isOpenLine(text) {
 		p.stats.failed++
+		p.stats.unserved.add("", answercause.Malformed)
 		ch.Reject(channel.Prohibited, []byte("ERR"))
 		return
 	}
--- a/internal/proxy/established.go
+++ b/internal/proxy/established.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"spurspread/decision"
+	"spurspread/decision/answercause"
 	"spurspread/decision/messagedelay"
 	"spurspread/decision/monotime"
 	"spurspread/decision/outcome"
@@ -121,7 +122,7 @@
 // sends would be taken for lines of an established connection.
 func (r *request) rejectEarlyBytes() {
 	coreKnew := r.coreKnows
-	r.fail()
+	r.fail(answercause.ClientTooEarly)
 	if coreKnew {
 		r.notifyCancelled()
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -120,6 +120,9 @@
 
 // HandleAdminCall carries out a command of the admin listener and returns its reply, without the line end.
 func (p *Proxy) HandleAdminCall(command lifecycle.CommandKind) string {
+	if command == lifecycle.CommandUnserved {
+		return strings.TrimSpace("+OK " + p.stats.unserved.text())
+	}
 	return p.drain.handleAdminCall(command)
 }
 
--- a/internal/proxy/reattach.go
+++ b/internal/proxy/reattach.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"spurspread/decision/answercause"
 	"spurspread/decision/attemptoutcome"
 	"spurspread/decision/outcome"
 	"spurspread/decision/timeouts"
@@ -12,7 +13,7 @@
 	left := timeouts.Reattach(r.announcedDeadline())
 	r.deadline = r.proxy.loop.Now() + left
 	r.transition(stateReattaching)
-	r.startTimer(left, r.fail)
+	r.startTimer(left, func() { r.fail(answercause.ReattachFailed) })
 	r.reattach()
 }
 
@@ -40,15 +41,15 @@
 		r.proxy.loop.After(timeouts.ReattachRetry, r.reattach)
 		return
 	}
-	r.fail()
+	r.fail(answercause.ReattachFailed)
 }
 
 // rejectReattaching answers a request at once that waits for its server. The decision core does not know it.
 func (r *request) rejectReattaching() {
 	mayHaveExecuted := r.attempt != nil && r.attempt.written
 	if r.retryPolicy.ClientRetrySafe(mayHaveExecuted) {
-		r.reject(timeouts.RejectRetryAfter)
+		r.reject(timeouts.RejectRetryAfter, answercause.ShuttingDown)
 	} else {
-		r.fail()
+		r.fail(answercause.ShuttingDown)
 	}
 }
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"spurspread/decision"
+	"spurspread/decision/answercause"
 	"spurspread/decision/monotime"
 	"spurspread/decision/outcome"
 	"spurspread/decision/overload"
@@ -46,6 +47,8 @@
 func (p *Proxy) openRequest(client downstream, text, line []byte, rejectOnly bool) *request {
 	r := &request{proxy: p, downstream: client, firstLine: line}
 	if !p.requests.put(r) {
+		p.stats.rejected++
+		p.stats.unserved.add("", answercause.SlotsUsed)
 		client.sendFinal(lineproto.AppendBusy(nil, millisRoundedUp(timeouts.RejectRetryAfter)))
 		client.closeGracefully()
 		r.transition(stateClosed)
@@ -53,42 +56,46 @@
 	}
 	p.requests.unanswered.add(r)
 	p.fitBuffersToGrowth()
-	if !r.parse(text) {
-		r.fail()
+	if problem, ok := r.parse(text); !ok {
+		r.fail(problem)
 		return r
 	}
 	r.admit(rejectOnly)
 	return r
 }
 
-// parse reads the first line. It returns false for one that is malformed, or whose id or class can't be served.
-func (r *request) parse(text []byte) bool {
+// parse reads the first line. One that is malformed, or whose id or class can't be served, is a problem.
+func (r *request) parse(text []byte) (problem answercause.Cause, ok bool) {
 	var err error
+	if r.open, err = lineproto.ParseOpen(text); err != nil {
+		return answercause.Malformed, false
+	}
 	// The id is new for every connection; a server that sees one again answers ERR, whoever used it before.
-	if r.open, err = lineproto.ParseOpen(text); err != nil || !r.proxy.requests.ids.Add(r.open.ID) {
-		return false
+	if !r.proxy.requests.ids.Add(r.open.ID) {
+		return answercause.DuplicateID, false
 	}
 	r.idTaken = true
 	r.classNames = r.proxy.cfg.Settings.ClassNames
 	r.class = indexOr(r.classNames, string(r.open.Class), unknownClass)
 	if r.class == unknownClass {
-		return false
+		return answercause.UnknownClass, false
 	}
 	r.retryPolicy = r.proxy.cfg.Settings.Decision.Classes[r.class].RetryPolicy()
-	return true
+	return answercause.Unknown, true
 }
 
 // admit rejects the request, or has it placed or reattached.
 func (r *request) admit(rejectOnly bool) {
 	p := r.proxy
 	p.stats.accepted++
-	if overload.RejectsRequest(overload.Arrival{
+	cause, rejected := overload.RejectsRequest(overload.Arrival{
 		AcceptedShort: rejectOnly,
 		ShuttingDown:  p.drain.rejectsNew(),
 		Held:          p.requests.len(),
 		MaxHeld:       p.cfg.Settings.Decision.MaxHeldRequests,
-	}) {
-		r.reject(timeouts.RejectRetryAfter)
+	})
+	if rejected {
+		r.reject(timeouts.RejectRetryAfter, cause)
 		return
 	}
 	if !r.presentToken() {
@@ -155,27 +162,37 @@
 func (r *request) expire() {
 	r.proxy.core.dispatch(decision.RequestExpired{ID: uint32(r.ref)})
 	if r.state == statePending {
-		r.fail()
+		r.fail(answercause.Overdue)
 		r.notifyCancelled()
 	}
 }
 
-// reject answers that the client may try again after a span.
-func (r *request) reject(retryAfter monotime.Micros) {
+// reject answers that the client may try again after a span, for a cause that is counted.
+func (r *request) reject(retryAfter monotime.Micros, cause answercause.Cause) {
 	if r.state.unanswered() && !r.answeredStale() {
 		r.proxy.stats.rejected++
+		r.proxy.stats.unserved.add(r.className(), cause)
 		r.answer(lineproto.AppendBusy(nil, millisRoundedUp(retryAfter)))
 	}
 }
 
-// fail answers that the request failed, and may have been executed.
-func (r *request) fail() {
+// fail answers that the request failed, and may have been executed, for a cause that is counted.
+func (r *request) fail(cause answercause.Cause) {
 	if r.state.unanswered() && !r.answeredStale() {
 		r.proxy.stats.failed++
+		r.proxy.stats.unserved.add(r.className(), cause)
 		r.answer([]byte("ERR\r\n"))
 	}
 }
 
+// className is the request's class; empty for one that the settings don't have, or that was not read.
+func (r *request) className() string {
+	if r.class < 0 || r.class >= len(r.classNames) {
+		return ""
+	}
+	return r.classNames[r.class]
+}
+
 // answer gives the final answer, a line with its end.
 func (r *request) answer(line []byte) {
 	r.downstream.sendFinal(line)
--- a/internal/proxy/resume_request.go
+++ b/internal/proxy/resume_request.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"spurspread/decision/answercause"
 	"spurspread/decision/attemptoutcome"
 	"spurspread/decision/outcome"
 	"spurspread/decision/resume"
@@ -52,7 +53,7 @@
 	}
 	if string(r.open.Token) == firstTokenWord {
 		if !cursorOK {
-			r.fail()
+			r.fail(answercause.Malformed)
 			return false
 		}
 		r.resumable = &resumableStream{id: s.streamIDs.Uint64(), cursor: cursor, moveStatus: outcome.Cancelled}
--- a/internal/proxy/stats.go
+++ b/internal/proxy/stats.go
@@ -24,6 +24,7 @@
 	sharedFailures  int // attempts that ended by a failure which had been counted for another attempt
 	transferredOut  int // connections transferred to the successor
 	transferredIn   int // connections transferred from an older process
+	unserved        unservedCounters
 }
 
 // logStats logs the statistics, again and again.
@@ -42,6 +43,7 @@
 		logging.Evicted:        p.stats.evicted,
 		logging.TransferredIn:  p.stats.transferredIn,
 	}
+	p.stats.unserved.addTo(fields)
 	p.servers.addStats(fields)
 	p.resumption.addStats(fields)
 	p.addChannelStats(fields)
