Errors that no server contradicts reach the throttle

Callers saw: where all servers answer ERR to idempotent requests each was sent to a second server as well, and none was shed: 1,000 requests cost 1,514 attempts, more load for servers in trouble. Cause: such an error counts only once another server has accepted the request; onAttemptEnded answered finally after the second error and forgot both, so neither FailuresShared nor ShedProbability heard of any. Change: a request that ends with an error neither confirmed nor contradicted counts as one failed set-up, against no server.

--- a/decision/admission.go
+++ b/decision/admission.go
@@ -112,6 +112,7 @@
 // under way.
 func (b *Balancer) answerFinally(r *request, cause answercause.Cause) {
 	uncertain := r.attemptHistory.MayHaveExecuted() || r.server != nil
+	b.recordUnconfirmedError(r)
 	b.endRequest(r)
 	if r.class.RetryPolicy().ClientRetrySafe(uncertain) {
 		b.emit(Reject{ID: r.id, RetryAfter: b.retryAfter(), Cause: cause})
--- a/decision/retries.go
+++ b/decision/retries.go
@@ -106,6 +106,16 @@
 	return status == outcome.ErrorResponse && !wasEstablished && r.class.Idempotency == Idempotent
 }
 
+// recordUnconfirmedError counts one failed set-up for a request that a server answered with an error and that ends
+// without another server having accepted it. It counts against no server, as it may be the request's own fault, but
+// where most requests end like this the fault is shared, and further attempts would only add load.
+func (b *Balancer) recordUnconfirmedError(r *request) {
+	if r.erroredServer != nil {
+		b.recordSetup(outcome.ErrorResponse, 0)
+		r.erroredServer = nil
+	}
+}
+
 // confirmError counts an earlier error response against the server that gave it, now that another has accepted the
 // request.
 func (b *Balancer) confirmError(now Micros, r *request) {
--- a/decision/retries_test.go
+++ b/decision/retries_test.go
@@ -134,3 +134,57 @@
 		}
 	}
 }
+
+// playErrors sends n requests one after another, all of whose attempts end like this, and returns how many attempts
+// were made.
+func playErrors(g *harness, n int, status outcome.Status) (attempts int) {
+	for range n {
+		g.now += 5 * ms
+		id, server := g.request()
+		for number := 0; server != 0; number++ {
+			attempts++
+			if status == outcome.OK {
+				g.handle(Established{ID: id, Attempt: number, Server: server, SetupTime: 10 * ms})
+				g.handle(AttemptEnded{ID: id, Attempt: number, Server: server, Status: status, RequestClosed: true})
+				break
+			}
+			ended := g.handle(AttemptEnded{ID: id, Attempt: number, Server: server, Status: status})
+			server = 0
+			if next := actionsOf[StartAttempt](ended); len(next) > 0 {
+				server = next[0].Server
+			}
+		}
+	}
+	return attempts
+}
+
+// Where all servers answer errors to idempotent requests the throttle hears of it: a crowd is not sent twice each, and
+// no server is demoted for it. Once they accept again, so do all requests get through.
+func TestErrorsOfAllServersReachTheThrottle(t *testing.T) {
+	g := newHarness(t, testSettings(), serverList(4, 0))
+	if n := playErrors(g, 1000, outcome.ErrorResponse); n > 500 {
+		t.Errorf("1000 requests that fail everywhere cost %d attempts", n)
+	}
+	for _, s := range g.b.servers {
+		if s.health == healthUnhealthy {
+			t.Errorf("server %d is demoted for an error that no other server contradicts", s.Server)
+		}
+	}
+	for range 60 * 4 {
+		g.advance(tickInterval)
+	}
+	if n := playErrors(g, 100, outcome.OK); n != 100 {
+		t.Errorf("%d of 100 requests are sent once the servers accept again", n)
+	}
+}
+
+// One client whose requests fail everywhere costs the others nothing.
+func TestFaultyClientIsNotTheFleet(t *testing.T) {
+	g := newHarness(t, testSettings(), serverList(4, 0))
+	for range 300 {
+		playErrors(g, 1, outcome.ErrorResponse)
+		if n := playErrors(g, 2, outcome.OK); n != 2 {
+			t.Fatalf("%d of 2 sound requests are sent", n)
+		}
+	}
+}
