Clients rejected together are told to come back apart

Callers saw: 500 clients rejected by one process at one instant were all told 300 ms, with no regard to retry_after and max_retry_after; a client that names its server tried it every 250 ms for up to 40 s, all in step. Cause: the proxy's own rejections and reattaching used constants, the core's rule was not asked. Evidence: TestRejectedClientsComeBackSpread and TestNoAdviceWhereNoneIsAllowed fail on the code before (500 of 500 in one part; BUSY 300 where none is allowed). Change: decision.Settings.RetryAfter serves core and proxy, with a random part from a seeded sequence; timeouts.ReattachRetry backs off from 250 ms to 4 s with jitter. Tests that named 300 ms set max_retry_after below the range, so they still hold one exact value; the table of constants holds the function's values in place of the two constants.

--- a/decision/admission.go
+++ b/decision/admission.go
@@ -121,11 +121,20 @@
 	}
 }
 
-// retryAfter returns how long a rejected client is to wait: minRetryAfter and a random part of retryAfterSpread, at
-// most Settings.MaxRetryAfter; 0, which states nothing, unless Settings.AllowRetryAfter.
+// retryAfter returns how long a rejected client is to wait: see Settings.RetryAfter.
 func (b *Balancer) retryAfter() Micros {
 	if !b.settings.AllowRetryAfter {
 		return 0
 	}
-	return min(minRetryAfter+b.jitter(retryAfterSpread), b.settings.MaxRetryAfter)
+	return b.settings.RetryAfter(b.rng.Float64())
+}
+
+// RetryAfter returns how long a rejected client is to wait, in microseconds: minRetryAfter and the part variate, 0 to 1
+// at random, of retryAfterSpread, at most MaxRetryAfter; 0, which states nothing, unless AllowRetryAfter. The caller of
+// a Balancer uses it for requests that it rejects itself.
+func (s *Settings) RetryAfter(variate float64) Micros {
+	if !s.AllowRetryAfter {
+		return 0
+	}
+	return min(minRetryAfter+Micros(variate*float64(retryAfterSpread)), s.MaxRetryAfter)
 }
--- a/decision/timeouts/timeouts.go
+++ b/decision/timeouts/timeouts.go
@@ -2,7 +2,10 @@
 // combine several limits into one. It has no timers; whoever waits sets them.
 package timeouts
 
-import "spurspread/decision/monotime"
+import (
+	"spurspread/decision/backoff"
+	"spurspread/decision/monotime"
+)
 
 // Waiting for clients.
 const (
@@ -15,8 +18,6 @@
 	Linger = 800 * monotime.Millisecond
 	// MaxReattach is the longest that a client waits for the server that it names to be listed and to answer.
 	MaxReattach = 40 * monotime.Second
-	// RejectRetryAfter is after how long a client may come back that the proxy itself rejects.
-	RejectRetryAfter = 300 * monotime.Millisecond
 )
 
 // Waiting for servers and for discovery.
@@ -28,8 +29,10 @@
 	Silence = 5500 * monotime.Millisecond
 	// minReattachAttempt is the least that such an attempt may take.
 	minReattachAttempt = 1 * monotime.Millisecond
-	// ReattachRetry is the pause before a further attempt at a server that the client names.
-	ReattachRetry = 250 * monotime.Millisecond
+	// minReattachRetry and maxReattachRetry bound the pause before a further attempt at a server that the client names,
+	// before jitter.
+	minReattachRetry = 250 * monotime.Millisecond
+	maxReattachRetry = 4 * monotime.Second
 	// ProbeReply is how long a server may take to answer a probe beyond the time that a connection may take.
 	ProbeReply = 150 * monotime.Millisecond
 	// Rewatch is the pause before a failed watch of pushed server lists is started again. A pushed change has to be
@@ -54,6 +57,15 @@
 // Reattach is how long a client waits for the server that it names, from what it announces; at most MaxReattach.
 func Reattach(announced monotime.Micros) monotime.Micros { return min(announced, MaxReattach) }
 
+// ReattachRetry is the pause before a further attempt at the server that a client names, after so many failed ones in a
+// row, 1 or more: it doubles from minReattachRetry to maxReattachRetry, less or more up to a quarter by variate,
+// 0 to 1 at random, so that clients whose server went together do not come back together.
+func ReattachRetry(failures int, variate float64) monotime.Micros {
+	const maxDoublings, minAround, aroundRange = 10, 0.75, 0.5
+	pause := backoff.Exponential(minReattachRetry, maxReattachRetry, failures-1, maxDoublings)
+	return monotime.Micros(float64(pause) * (minAround + aroundRange*variate))
+}
+
 // ReattachAttempt is how long an attempt at the server that a client names may take, from the time that the client
 // still waits; at least minReattachAttempt.
 func ReattachAttempt(left monotime.Micros) monotime.Micros { return max(left, minReattachAttempt) }
--- a/internal/proxy/downstream_mux.go
+++ b/internal/proxy/downstream_mux.go
@@ -170,7 +170,7 @@
 	}
 	p.stats.rejected++
 	p.stats.unserved.add("", answercause.ChannelLimit)
-	busy := lineproto.AppendBusy(nil, millisRoundedUp(timeouts.RejectRetryAfter))
+	busy := lineproto.AppendBusy(nil, millisRoundedUp(p.retryAfter()))
 	return channel.NoResources, string(bytes.TrimRight(busy, lineEnd))
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"reflect"
 	"strings"
@@ -46,9 +47,10 @@
 
 // Proxy is one balancer on one event loop. Its methods are called on the loop's goroutine.
 type Proxy struct {
-	loop *eventloop.Loop
-	cfg  Config
-	log  *logrus.Logger
+	loop   *eventloop.Loop
+	cfg    Config
+	log    *logrus.Logger
+	random *rand.Rand // for jitter
 
 	core       dispatcher
 	servers    serverDirectory
@@ -89,9 +91,12 @@
 	return p, nil
 }
 
+// jitterSequence tells the proxy's own random sequence from others of the same seed.
+const jitterSequence = 0x6a69747465720001
+
 // newProxy connects the owners with each other.
 func newProxy(l *eventloop.Loop, cfg Config, log *logrus.Logger, core decisionCore) *Proxy {
-	p := &Proxy{loop: l, cfg: cfg, log: log}
+	p := &Proxy{loop: l, cfg: cfg, log: log, random: rand.New(rand.NewPCG(cfg.Seed, jitterSequence))}
 	p.core = dispatcher{loop: l, core: core, apply: p.apply, emptied: p.requests.freeClosed}
 	p.servers = newServerDirectory(p)
 	p.listener = newListener(p)
--- a/internal/proxy/reattach.go
+++ b/internal/proxy/reattach.go
@@ -38,7 +38,8 @@
 // reattachFailed handles the end of such an attempt.
 func (r *request) reattachFailed(status outcome.Status) {
 	if attemptoutcome.RetriesReattach(status) {
-		r.proxy.loop.After(timeouts.ReattachRetry, r.reattach)
+		r.reattachFailures++
+		r.proxy.loop.After(timeouts.ReattachRetry(r.reattachFailures, r.proxy.random.Float64()), r.reattach)
 		return
 	}
 	r.fail(answercause.ReattachFailed)
@@ -48,7 +49,7 @@
 func (r *request) rejectReattaching() {
 	mayHaveExecuted := r.attempt != nil && r.attempt.written
 	if r.retryPolicy.ClientRetrySafe(mayHaveExecuted) {
-		r.reject(timeouts.RejectRetryAfter, answercause.ShuttingDown)
+		r.rejectHere(answercause.ShuttingDown)
 	} else {
 		r.fail(answercause.ShuttingDown)
 	}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -35,6 +35,8 @@
 	attempt  *attempt // under way, or the established one
 	attempts int      // started so far
 
+	reattachFailures int // in a row, while it reattaches
+
 	established
 
 	unansweredIndex    int32 // in requestTable.unanswered
@@ -49,7 +51,7 @@
 	if !p.requests.put(r) {
 		p.stats.rejected++
 		p.stats.unserved.add("", answercause.SlotsUsed)
-		client.sendFinal(lineproto.AppendBusy(nil, millisRoundedUp(timeouts.RejectRetryAfter)))
+		client.sendFinal(lineproto.AppendBusy(nil, millisRoundedUp(p.retryAfter())))
 		client.closeGracefully()
 		r.transition(stateClosed)
 		return r
@@ -95,7 +97,7 @@
 		MaxHeld:       p.cfg.Settings.Decision.MaxHeldRequests,
 	})
 	if rejected {
-		r.reject(timeouts.RejectRetryAfter, cause)
+		r.rejectHere(cause)
 		return
 	}
 	if !r.presentToken() {
@@ -167,6 +169,14 @@
 	}
 }
 
+// retryAfter draws how long a client waits that the proxy itself rejects; 0 states nothing.
+func (p *Proxy) retryAfter() monotime.Micros {
+	return p.cfg.Settings.Decision.RetryAfter(p.random.Float64())
+}
+
+// rejectHere rejects the request without the decision core.
+func (r *request) rejectHere(cause answercause.Cause) { r.reject(r.proxy.retryAfter(), cause) }
+
 // reject answers that the client may try again after a span, for a cause that is counted.
 func (r *request) reject(retryAfter monotime.Micros, cause answercause.Cause) {
 	if r.state.unanswered() && !r.answeredStale() {
