A connection that its client ended is no slow set-up

Callers saw: after clients ended their side in order, new ones were held though servers were idle, and attempts timed out too late. Cause: onAttemptEnded took any state but Established for a set-up; a request whose client has ended is Closing, so the time that its connection stood was recorded as a set-up's. Evidence: TestEndedClientsAreNoSlowSetups on the code before: 1,000 such ends lower the limit from 12 to 2 and put the latency at 90 s. Change: a request remembers that it was established.

--- a/decision/requests.go
+++ b/decision/requests.go
@@ -48,6 +48,7 @@
 	attempts        int     // started so far
 	server          *server // of the attempt under way or of the connection
 	connectionIndex int     // in server.connections, if established
+	wasEstablished  bool    // the attempt under way became a connection, which may be closing now
 	chargedTo       *server // whose load it is counted to
 	pinnedTo        *server // the only server that may serve it; nil: any
 
@@ -78,6 +79,7 @@
 func (r *request) establish() {
 	r.server.pendingAttempts--
 	r.server.addConnection(r)
+	r.wasEstablished = true
 	r.state = requestEstablished
 }
 
@@ -87,6 +89,7 @@
 	r.server = s
 	s.charge(r)
 	s.addConnection(r)
+	r.wasEstablished = true
 	r.state = requestEstablished
 }
 
@@ -210,17 +213,16 @@
 	if r == nil || !r.isCurrentAttempt(ev.Attempt, ev.Server) {
 		return
 	}
-	wasEstablished := r.state == requestEstablished
-	s := r.detach()
-	if wasEstablished && ev.Status != outcome.OK {
+	if r.state == requestEstablished && ev.Status != outcome.OK {
 		b.fleetSize.ExpectReturn()
 	}
-	needsConfirmation := errorNeedsConfirmation(r, ev.Status, wasEstablished)
+	s := r.detach()
+	needsConfirmation := errorNeedsConfirmation(r, ev.Status)
 	if !needsConfirmation && !ev.SharedCause {
-		if !wasEstablished {
+		if !r.wasEstablished {
 			b.recordSetup(ev.Status, ev.Duration)
 		}
-		b.updateHealth(now, s, ev.Status, wasEstablished)
+		b.updateHealth(now, s, ev.Status, r.wasEstablished)
 	}
 	if ev.RequestClosed || r.state == requestEnded {
 		b.endRequest(r)
--- a/decision/requests_test.go
+++ b/decision/requests_test.go
@@ -188,3 +188,23 @@
 		}
 	}
 }
+
+// Clients that end their side leave connections that close later: how long those stood is not how long a set-up took.
+func TestEndedClientsAreNoSlowSetups(t *testing.T) {
+	g := newHarness(t, testSettings(), serverList(4, 0))
+	limit := g.b.setups.Limit
+	for range 1000 {
+		g.now += sec
+		id, server := g.requestNow()
+		if server == 0 {
+			t.Fatal("no attempt was started")
+		}
+		g.handle(Established{ID: id, Server: server, SetupTime: 10 * ms})
+		g.handle(RequestCancelled{ID: id})
+		g.handle(AttemptEnded{ID: id, Server: server, Status: outcome.OK, Duration: 60 * sec, RequestClosed: true})
+	}
+	if g.b.setups.Limit < limit || g.b.setups.SetupLatency() > float64(20*ms) {
+		t.Errorf("the limit of set-ups went from %.0f to %.0f, their latency is %.0f us",
+			limit, g.b.setups.Limit, g.b.setups.SetupLatency())
+	}
+}
--- a/decision/retries.go
+++ b/decision/retries.go
@@ -102,8 +102,8 @@
 // errorNeedsConfirmation reports whether an attempt's end says nothing of its server until another server has had the
 // request: an error response to an idempotent request may be the request's own fault, and one faulty client would
 // otherwise demote all servers.
-func errorNeedsConfirmation(r *request, status outcome.Status, wasEstablished bool) bool {
-	return status == outcome.ErrorResponse && !wasEstablished && r.class.Idempotency == Idempotent
+func errorNeedsConfirmation(r *request, status outcome.Status) bool {
+	return status == outcome.ErrorResponse && !r.wasEstablished && r.class.Idempotency == Idempotent
 }
 
 // recordUnconfirmedError counts one failed set-up for a request that a server answered with an error and that ends
