Connections that close are no set-ups in flight

Callers saw: new requests held, up to their time, because others' connections were closing; worst in a planned move, where as many come back. Cause: server.pendingAttempts counted attempts and closing connections alike, and setupAllowed compared it with the concurrency limit. Change: closingConnections is a counter of its own; it counts as load of the server, not as a set-up.

--- a/decision/admission.go
+++ b/decision/admission.go
@@ -42,9 +42,8 @@
 }
 
 // setupAllowed reports whether one more connection may be set up now. It compares the attempts under way at all
-// servers, and the connections that are being closed, with the concurrency limit: more at once would take so long
-// that they are retried while they are still worked on. There is no limit in passthrough mode, where a set-up costs
-// nothing.
+// servers with the concurrency limit: more at once would take so long that they are retried while they are still worked
+// on. There is no limit in passthrough mode, where a set-up costs nothing.
 func (b *Balancer) setupAllowed() bool {
 	if b.settings.Passthrough {
 		return true
--- a/decision/requests.go
+++ b/decision/requests.go
@@ -96,9 +96,12 @@
 // detach takes the attempt or the connection, which has ended, off its server, and returns that server.
 func (r *request) detach() *server {
 	s := r.server
-	if r.state == requestEstablished {
+	switch {
+	case r.state == requestEstablished:
 		s.removeConnection(r)
-	} else {
+	case r.wasEstablished:
+		s.closingConnections--
+	default:
 		s.pendingAttempts--
 	}
 	r.release()
@@ -126,7 +129,7 @@
 	case requestEstablished:
 		r.server.removeConnection(r)
 		r.release()
-		r.server.pendingAttempts++
+		r.server.closingConnections++
 		r.state = requestClosing
 	case requestClosing: // until detach
 	}
--- a/decision/server.go
+++ b/decision/server.go
@@ -26,10 +26,11 @@
 	pausedUntil          Micros                   // no new attempt before
 	lastResetAt          Micros                   // when it last reset a connection
 
-	pendingAttempts int            // attempts under way, and connections that close
-	lastTriedBy     uint32         // the request that was sent to it last, as triedByToken
-	groupSizes      map[uint64]int // connections and attempts charged to it, by group
-	connections     []*request     // established ones; the order is arbitrary but decides, so it must be reproducible
+	pendingAttempts    int            // attempts under way, those that are being cancelled included
+	closingConnections int            // established ones that were moved or cancelled and have not ended yet
+	lastTriedBy        uint32         // the request that was sent to it last, as triedByToken
+	groupSizes         map[uint64]int // connections and attempts charged to it, by group
+	connections        []*request     // established ones; the order is arbitrary but decides, so it is reproducible
 }
 
 // newServer returns a server that has just been listed for the first time.
@@ -48,8 +49,10 @@
 
 func (s *server) location() retry.Location { return retry.Location{Zone: s.Zone, Cell: s.Cell} }
 
-// connectionCount returns how many connections the server has of this balancer, with those being set up.
-func (s *server) connectionCount() float64 { return float64(len(s.connections) + s.pendingAttempts) }
+// connectionCount returns how many connections the server has of this balancer, with those being set up or closed.
+func (s *server) connectionCount() float64 {
+	return float64(len(s.connections) + s.pendingAttempts + s.closingConnections)
+}
 
 // triedByToken is a request's ID in server.lastTriedBy, where 0 stands for none.
 func triedByToken(id uint32) uint32 { return id + 1 }
