A keyed retry stays in its zone or cell, however many there are

Callers saw: a request that may have run, and whose key one zone or cell knows, could be sent to another one, where it runs a second time. Cause: zones were cut to 8 bits, cells to 16, and all zones that the settings don't list shared the number 255. Change: zones have 32 bits, cells 64, and each unlisted zone has a number of its own (serverDirectory.zoneNumber).

--- a/decision/capacity_test.go
+++ b/decision/capacity_test.go
@@ -41,7 +41,7 @@
 // A server of another zone that warms up gets a small part of its budget, by its weight, and only what the home
 // zone has no capacity for.
 func TestLittleSpilloverToServersInSlowStart(t *testing.T) {
-	sent := func(zone uint8, weight float64) int {
+	sent := func(zone uint32, weight float64) int {
 		g := newHarness(t, testSettings(), serverList(4, 4))
 		g.connectMany(200)
 		g.advance(sec)
--- a/decision/digest_test.go
+++ b/decision/digest_test.go
@@ -167,8 +167,8 @@
 		}
 		update.Entries = append(update.Entries, decision.ServerEntry{
 			Server: server, StableID: uint64(server) * 0x9e37,
-			Zone: uint8(server % 2), MachineType: uint16(server % 3), State: state, Weight: float64(1 + server%4),
-			Cell: uint16(server % 4), StartedAt: g.started[server],
+			Zone: uint32(server % 2), MachineType: uint16(server % 3), State: state, Weight: float64(1 + server%4),
+			Cell: uint64(server % 4), StartedAt: g.started[server],
 		})
 	}
 	return update
--- a/decision/events.go
+++ b/decision/events.go
@@ -20,11 +20,11 @@
 type ServerEntry struct {
 	Server      uint32 // this balancer's number of the server
 	StableID    uint64 // hash of the server's id, the same at every balancer, where Server may differ
-	Zone        uint8
+	Zone        uint32 // its index in the settings' list; above those, one number for each other zone
 	MachineType uint16
 	State       ServerState
 	Weight      float64 // relative capacity, or as Settings.DynamicWeights says; 0 or less where not listed
-	Cell        uint16
+	Cell        uint64
 	StartedAt   Micros // 0: in the distant past
 }
 
--- a/decision/retry/retry.go
+++ b/decision/retry/retry.go
@@ -50,8 +50,8 @@
 
 // Location is where a server runs.
 type Location struct {
-	Zone uint8
-	Cell uint16
+	Zone uint32
+	Cell uint64
 }
 
 // AttemptHistory is what the attempts of one request may have done so far. The zero value is the history of a request
--- a/decision/retry/retry_test.go
+++ b/decision/retry/retry_test.go
@@ -26,8 +26,8 @@
 
 func drawLocation(t *rapid.T, name string) Location {
 	return Location{
-		Zone: rapid.Uint8Range(0, 1).Draw(t, name+" zone"),
-		Cell: rapid.Uint16Range(0, 2).Draw(t, name+" cell"),
+		Zone: rapid.Uint32Range(0, 1).Draw(t, name+" zone"),
+		Cell: rapid.Uint64Range(0, 2).Draw(t, name+" cell"),
 	}
 }
 
--- a/internal/discovery/json.go
+++ b/internal/discovery/json.go
@@ -21,7 +21,7 @@
 	HostPort    string  `json:"hostPort"`
 	Zone        string  `json:"zone"`
 	MachineType string  `json:"machineType"`
-	Cell        uint16  `json:"cell"`
+	Cell        uint64  `json:"cell"`
 	Lifecycle   string  `json:"lifecycle"`
 	Weight      float64 `json:"weight"`
 	StartedAtMs int64   `json:"startedAtMs"`
@@ -99,7 +99,7 @@
 		Addr:          addr,
 		Zone:          item.Get("zone").String(),
 		MachineType:   item.Get("machineType").String(),
-		Cell:          uint16(item.Get("cell").Uint()),
+		Cell:          item.Get("cell").Uint(),
 		State:         state,
 		Weight:        item.Get("weight").Float(),
 		StartedMillis: started,
--- a/internal/discovery/serverlist.go
+++ b/internal/discovery/serverlist.go
@@ -19,7 +19,7 @@
 	Addr          netip.AddrPort // not valid where the published one could not be read
 	Zone          string
 	MachineType   string
-	Cell          uint16
+	Cell          uint64
 	State         ServerState
 	Weight        float64
 	StartedMillis int64 // when it started, Unix milliseconds; 0: in the distant past
--- a/internal/proxy/serverlist.go
+++ b/internal/proxy/serverlist.go
@@ -18,8 +18,10 @@
 const (
 	// saveListDelay is how long a changed list waits before it is saved; changes mostly come together.
 	saveListDelay = 200 * monotime.Millisecond
-	// unknownZone and unknownMachineType are the numbers of names that the settings don't have.
-	unknownZone        = 255
+	// unlistedZoneBase is the first number of zones that the settings don't have. A retry that must stay in its zone is
+	// kept there by these numbers, so each zone has one of its own, above all that settings may list.
+	unlistedZoneBase = 1 << 16
+	// unknownMachineType is the number of machine types that the settings don't have.
 	unknownMachineType = 65535
 )
 
@@ -30,6 +32,7 @@
 	list          *discovery.ServerList
 	client        *discovery.Client
 	saveScheduled bool
+	unlistedZones []string // by their numbers less unlistedZoneBase
 	failures      int // of calls of discovery, and of established watches
 }
 
@@ -160,12 +163,11 @@
 	known := &d.proxy.cfg.Settings
 	ev := decision.ServerListUpdate{Kind: kind}
 	for _, server := range update.Servers {
-		zone := indexOr(known.ZoneNames, server.Zone, unknownZone)
 		machineType := indexOr(known.MachineTypes, server.MachineType, unknownMachineType)
 		ev.Entries = append(ev.Entries, decision.ServerEntry{
 			Server:      server.Number,
 			StableID:    xxhash.Sum64String(server.ID),
-			Zone:        uint8(zone),
+			Zone:        d.zoneNumber(server.Zone),
 			MachineType: uint16(machineType),
 			State:       entryState(server.State),
 			Weight:      server.Weight,
@@ -176,6 +178,20 @@
 	return ev
 }
 
+// zoneNumber is the decision core's number for a zone: its index in the settings, or one that it keeps for as long as
+// the process runs.
+func (d *serverDirectory) zoneNumber(name string) uint32 {
+	if i := slices.Index(d.proxy.cfg.Settings.ZoneNames, name); i >= 0 {
+		return uint32(i)
+	}
+	i := slices.Index(d.unlistedZones, name)
+	if i < 0 {
+		i = len(d.unlistedZones)
+		d.unlistedZones = append(d.unlistedZones, name)
+	}
+	return uint32(unlistedZoneBase + i)
+}
+
 // entryState is the decision core's name for a state in discovery.
 func entryState(state discovery.ServerState) decision.ServerState {
 	switch state {
--- a/internal/simwire/record.go
+++ b/internal/simwire/record.go
@@ -144,11 +144,11 @@
 	entry := decision.ServerEntry{
 		Server:      server,
 		StableID:    uint64(server),
-		Zone:        f.uint8(),
+		Zone:        uint32(f.uint8()),
 		MachineType: f.uint16(),
 		State:       decision.ServerState(f.uint8()),
 		Weight:      float64(f.float32()),
-		Cell:        f.uint16(),
+		Cell:        uint64(f.uint16()),
 		StartedAt:   decision.Micros(f.uint64()),
 	}
 	if entry.State > decision.Ready {
