--- a/internal/proxy/serverlist.go
+++ b/internal/proxy/serverlist.go
@@ -33,7 +33,7 @@
 	client        *discovery.Client
 	saveScheduled bool
 	unlistedZones []string // by their numbers less unlistedZoneBase
-	failures      int // of calls of discovery, and of established watches
+	failures      int      // of calls of discovery, and of established watches
 }
 
 func newServerDirectory(p *Proxy) serverDirectory {
