A reload of the settings leaves servers in their zones

Callers saw: after SIGHUP with zones in another order, until discovery's next list, requests went to other zones, and a retry could leave the zone that knows its key. Cause: the core knows zones and machine types by their index in the settings; Reload changed the home zone's index and left those of servers and of requests' histories. Change: a name keeps its number for as long as the process runs (nameNumbers), the first settings' names have their indices; reloaded settings are given their home zone by name.

--- /dev/null
+++ b/internal/proxy/namenumbers.go
@@ -0,0 +1,29 @@
+package proxy
+
+// nameNumbers gives each name a number that it keeps for as long as the process runs, however often the settings that
+// list names are reloaded. The zero value knows no names.
+type nameNumbers struct {
+	byName map[string]int
+	next   int
+}
+
+// add numbers names in their order: the first settings' names have their indices.
+func (n *nameNumbers) add(names []string) {
+	if n.byName == nil {
+		n.byName = map[string]int{}
+	}
+	for _, name := range names {
+		if _, known := n.byName[name]; !known {
+			n.byName[name] = n.next
+		}
+		n.next++
+	}
+}
+
+// number returns a name's number, a new one for a new name.
+func (n *nameNumbers) number(name string) int {
+	if _, known := n.byName[name]; !known {
+		n.add([]string{name})
+	}
+	return n.byName[name]
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -189,6 +189,7 @@
 
 func (p *Proxy) reloadSettings(changed settings.Settings) {
 	p.fleet.override(&changed.Decision)
+	p.servers.keepNumbers(&changed)
 	if reflect.DeepEqual(changed, p.cfg.Settings) {
 		return
 	}
--- a/internal/proxy/retryscope_test.go
+++ b/internal/proxy/retryscope_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"spurspread/decision"
 	"spurspread/internal/settings"
 )
 
@@ -55,3 +56,27 @@
 		})
 	}
 }
+
+// Reloaded settings that list zones in another order leave each server in its zone, before discovery tells anything.
+func TestReloadKeepsServersInTheirZones(t *testing.T) {
+	g := newHarnessWithCore(t, 2, func(cfg *Config) {
+		list, inA := string(cfg.CachedList), `"zone":"a"`
+		second := strings.LastIndex(list, inA)
+		cfg.CachedList = []byte(list[:second] + `"zone":"b"` + list[second+len(inA):])
+	})
+	reordered := strings.Replace(harnessSettings, `"zone":0,"dcs":["a","b"]`, `"zone":2,"dcs":["c","b","a"]`, 1)
+	set, err := settings.ParseJSON([]byte(reordered))
+	g.check(err)
+	g.inLoop(func() {
+		cfg := g.proxy.cfg
+		cfg.Settings = set
+		g.proxy.Reload(cfg)
+	})
+	for i := range 5 {
+		g.client(openLineWithID(i))
+		server := g.acceptUpstream(0)
+		server.line()
+		server.say("UP r1\r\n")
+		event[decision.Established](g)
+	}
+}
--- a/internal/proxy/serverlist.go
+++ b/internal/proxy/serverlist.go
@@ -13,16 +13,14 @@
 	"spurspread/decision/timeouts"
 	"spurspread/internal/discovery"
 	"spurspread/internal/logging"
+	"spurspread/internal/settings"
 )
 
 const (
 	// saveListDelay is how long a changed list waits before it is saved; changes mostly come together.
 	saveListDelay = 200 * monotime.Millisecond
-	// unlistedZoneBase is the first number of zones that the settings don't have. A retry that must stay in its zone is
-	// kept there by these numbers, so each zone has one of its own, above all that settings may list.
-	unlistedZoneBase = 1 << 16
-	// unknownMachineType is the number of machine types that the settings don't have.
-	unknownMachineType = 65535
+	// maxMachineType is the number of machine types that have no other one left.
+	maxMachineType = 65535
 )
 
 // serverDirectory owns the discovery client and the server list. It reports changes to the decision core, to requests
@@ -32,12 +30,24 @@
 	list          *discovery.ServerList
 	client        *discovery.Client
 	saveScheduled bool
-	unlistedZones []string // by their numbers less unlistedZoneBase
-	failures      int      // of calls of discovery, and of established watches
+	zones         nameNumbers
+	machineTypes  nameNumbers
+	failures      int // of calls of discovery, and of established watches
 }
 
 func newServerDirectory(p *Proxy) serverDirectory {
-	return serverDirectory{proxy: p, list: discovery.NewServerList()}
+	d := serverDirectory{proxy: p, list: discovery.NewServerList()}
+	d.zones.add(p.cfg.Settings.ZoneNames)
+	d.machineTypes.add(p.cfg.Settings.MachineTypes)
+	return d
+}
+
+// keepNumbers puts the numbers that zones have here in place of those that reloaded settings give them: servers and
+// requests that the core knows have the old ones.
+func (d *serverDirectory) keepNumbers(changed *settings.Settings) {
+	if home := changed.Decision.Zone; home >= 0 && home < len(changed.ZoneNames) {
+		changed.Decision.Zone = d.zones.number(changed.ZoneNames[home])
+	}
 }
 
 // open makes the discovery client and restores the cached list.
@@ -160,15 +170,13 @@
 
 // event is a change of the list as the decision core sees it.
 func (d *serverDirectory) event(kind decision.UpdateKind, update discovery.Update) decision.ServerListUpdate {
-	known := &d.proxy.cfg.Settings
 	ev := decision.ServerListUpdate{Kind: kind}
 	for _, server := range update.Servers {
-		machineType := indexOr(known.MachineTypes, server.MachineType, unknownMachineType)
 		ev.Entries = append(ev.Entries, decision.ServerEntry{
 			Server:      server.Number,
 			StableID:    xxhash.Sum64String(server.ID),
-			Zone:        d.zoneNumber(server.Zone),
-			MachineType: uint16(machineType),
+			Zone:        uint32(d.zones.number(server.Zone)),
+			MachineType: uint16(min(d.machineTypes.number(server.MachineType), maxMachineType)),
 			State:       entryState(server.State),
 			Weight:      server.Weight,
 			Cell:        server.Cell,
@@ -178,20 +186,6 @@
 	return ev
 }
 
-// zoneNumber is the decision core's number for a zone: its index in the settings, or one that it keeps for as long as
-// the process runs.
-func (d *serverDirectory) zoneNumber(name string) uint32 {
-	if i := slices.Index(d.proxy.cfg.Settings.ZoneNames, name); i >= 0 {
-		return uint32(i)
-	}
-	i := slices.Index(d.unlistedZones, name)
-	if i < 0 {
-		i = len(d.unlistedZones)
-		d.unlistedZones = append(d.unlistedZones, name)
-	}
-	return uint32(unlistedZoneBase + i)
-}
-
 // entryState is the decision core's name for a state in discovery.
 func entryState(state discovery.ServerState) decision.ServerState {
 	switch state {
