A memory limit that is taken out of the configuration no longer holds

Operators saw: after a reload without limits.memory_mb the garbage collector kept to five eighths of the old limit until a restart. Cause: limitMemory set a limit only where there was one. Evidence: TestMemoryLimitIsTakenBack on the code before: 41,943,040 bytes where the start had none. Measured: the test passes.

--- a/cmd/spurspread/config.go
+++ b/cmd/spurspread/config.go
@@ -39,8 +39,7 @@
 	member *peer.Config     // nil where membership is off
 }
 
-// limits are what the process may use, and what the platform calls it. 0 is no limit; a memory limit that is taken
-// out of the configuration stays in force until the process restarts.
+// limits are what the process may use, and what the platform calls it. 0 is no limit.
 type limits struct {
 	cores     float64
 	memoryMB  int64
@@ -49,11 +48,16 @@
 	name      string
 }
 
-// limitMemory sets the collector's limit, where the platform gives one.
+// environmentMemoryLimit is the collector's limit that the process was started with, in bytes: that of GOMEMLIMIT.
+var environmentMemoryLimit = debug.SetMemoryLimit(-1)
+
+// limitMemory sets the collector's limit to the platform's or, where that gives none, to environmentMemoryLimit.
 func (lim limits) limitMemory() {
+	limit := environmentMemoryLimit
 	if lim.memoryMB > 0 {
-		debug.SetMemoryLimit(lim.memoryMB * bytesPerMB * heapPart / heapParts)
+		limit = lim.memoryMB * bytesPerMB * heapPart / heapParts
 	}
+	debug.SetMemoryLimit(limit)
 }
 
 // load reads the platform's configuration and the site file.
