Buffers for slow readers stay within their part of the memory

Operators saw: nothing yet; with a memory limit, no limit of descriptors and thousands of slow readers a process would keep up to twice the eighth of its memory, and could be killed for it. Cause: fittedTo counts readers, fitBuffersToGrowth compared it with requests, half as many. Evidence: TestSlowReadersStayWithinTheirMemory on the code before: 2,162,688 bytes of 2,097,152 with 33 requests. Measured: never over the eighth with 400 requests. Peak memory with 2,000 slow readers: not measured.

--- a/internal/proxy/buffers.go
+++ b/internal/proxy/buffers.go
@@ -33,9 +33,9 @@
 	p.buffers.maxPending = overload.PendingLimit(p.cfg.MemoryLimit, p.buffers.fittedTo)
 }
 
-// fitBuffersToGrowth fits them again if there are more requests than they were fitted to.
+// fitBuffersToGrowth fits them again if there may be more slow readers than they were fitted to.
 func (p *Proxy) fitBuffersToGrowth() {
-	if p.requests.len() > p.buffers.fittedTo {
+	if overload.SlowReaders(p.cfg.MaxDescriptors, p.requests.len()) > p.buffers.fittedTo {
 		p.fitBuffers()
 	}
 }
