The end of a process does not wait for a disk that never answers

Operators saw: after 'drained' a process hung until SIGKILL where its last write to TMPDIR did not return; a FIFO at that path held up start and SIGTERM as well. Cause: serverListWriter.close waited for its goroutine without a bound and then read the file itself; restartproto opened whatever lay there. Change: close waits at most 0.3 s, the writer's goroutine removes the file; files of a hot restart are opened without blocking, and anything but a regular file is ErrNotRegular.

--- a/cmd/spurspread/goroutines_test.go
+++ b/cmd/spurspread/goroutines_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"io"
 	"net/netip"
 	"os"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"spurspread/internal/restartproto"
 	"spurspread/internal/siteconfig"
 )
 
@@ -22,6 +26,34 @@
 	}
 }
 
+// A disk that never answers does not hold up the end of the process.
+func TestServerListWriterEndsBesideAWriteThatDoesNot(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	w := newServerListWriter(log)
+	w.write = func(string, restartproto.ServerList) error {
+		close(started)
+		<-release
+		return nil
+	}
+	t.Setenv("TMPDIR", t.TempDir())
+	w.start(netip.MustParseAddrPort("127.0.0.1:1"))
+	w.save(netip.MustParseAddrPort("127.0.0.1:2"), []byte("{}"))
+	<-started
+	closed := make(chan struct{})
+	go func() {
+		w.close()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(10 * time.Second):
+		t.Fatal("close waits for the write")
+	}
+}
+
 // Seeds that can't be looked up are left out, and the lookups end with their context.
 func TestResolveSeedsEnds(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/cmd/spurspread/serverlistwriter.go
+++ b/cmd/spurspread/serverlistwriter.go
@@ -3,7 +3,7 @@
 import (
 	"net/netip"
 	"os"
-	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -15,32 +15,44 @@
 // they are written only the last is.
 type serverListWriter struct {
 	log      *logrus.Logger
+	write    func(path string, list restartproto.ServerList) error
 	pending  chan restartproto.ServerList // the next one to write; holds at most one
-	done     sync.WaitGroup
-	path     string                  // empty until start
-	template restartproto.ServerList // what all lists of this process have in common
+	done     chan struct{}                // closed when the goroutine has ended
+	path     string                       // empty until start
+	template restartproto.ServerList      // what all lists of this process have in common
 }
 
+// writerEndTimeout is for how long close waits for the last write. The process has its time to end from the platform,
+// and a disk that doesn't answer must not use it up.
+const writerEndTimeout = 300 * time.Millisecond
+
 func newServerListWriter(log *logrus.Logger) *serverListWriter {
-	return &serverListWriter{log: log, pending: make(chan restartproto.ServerList, 1)}
+	return &serverListWriter{
+		log:     log,
+		write:   restartproto.WriteServerList,
+		pending: make(chan restartproto.ServerList, 1),
+		done:    make(chan struct{}),
+	}
 }
 
 // start begins to write the file for a listen address; a list that was saved before is written now.
 func (w *serverListWriter) start(listen netip.AddrPort) {
 	w.path = restartproto.ServerListPath(os.TempDir(), listen)
 	w.template = restartproto.ServerList{PID: os.Getpid(), Listen: listen.String()}
-	w.done.Go(w.run) // owned by w: close ends it and waits for it
+	go w.run() // owned by w: close ends it and waits for it, if the disk lets it
 }
 
 func (w *serverListWriter) run() {
+	defer close(w.done)
 	logged := false
 	for list := range w.pending {
-		err := restartproto.WriteServerList(w.path, list)
+		err := w.write(w.path, list)
 		if err != nil && !logged {
 			w.log.WithError(err).Warn("hot restart: server list can't be stored for a new process")
 			logged = true
 		}
 	}
+	w.removeFile()
 }
 
 // save has a list written that the discovery at the given address published. It never blocks. Only the event loop's
@@ -56,14 +68,22 @@
 	w.pending <- list
 }
 
-// close writes the pending list, ends the goroutine, waits for it (a write to TMPDIR is short) and removes the
-// file, unless another process has replaced it: a process that is started later must not use it.
+// close has the pending list written and the file removed, and waits for both, at most writerEndTimeout. A write that
+// takes longer is abandoned with its goroutine, which ends with the process.
 func (w *serverListWriter) close() {
 	close(w.pending)
-	w.done.Wait()
 	if w.path == "" {
 		return
 	}
+	select {
+	case <-w.done:
+	case <-time.After(writerEndTimeout):
+		w.log.Warn("hot restart: server list still being stored at the end, left as it is")
+	}
+}
+
+// removeFile removes the file, unless another process has replaced it: a process that is started later must not use it.
+func (w *serverListWriter) removeFile() {
 	stored, err := restartproto.ReadServerList(w.path)
 	if err == nil && stored.PID == os.Getpid() {
 		_ = os.Remove(w.path)
--- a/internal/restartproto/announcement.go
+++ b/internal/restartproto/announcement.go
@@ -36,8 +36,8 @@
 	return replaceFile(path, a)
 }
 
-// ReadAnnouncement reads the file at path. It returns ErrTooLarge, ErrMalformed, ErrVersion, or the error of the file
-// system.
+// ReadAnnouncement reads the file at path. It returns ErrNotRegular, ErrTooLarge, ErrMalformed, ErrVersion, or the
+// error of the file system.
 func ReadAnnouncement(path string) (Announcement, error) {
 	var a Announcement
 	if err := readFile(path, maxAnnouncementBytes, &a); err != nil {
--- a/internal/restartproto/errors.go
+++ b/internal/restartproto/errors.go
@@ -6,6 +6,8 @@
 var (
 	// ErrVersion reports a file or an offer of another version of its form.
 	ErrVersion = errors.New("unsupported version")
+	// ErrNotRegular reports a path at which something else than a file lies.
+	ErrNotRegular = errors.New("not a regular file")
 	// ErrTooLarge reports a file over its bound, to be read or written.
 	ErrTooLarge = errors.New("too large")
 	// ErrMalformed reports JSON that is broken, or has unknown fields or values of another type.
--- a/internal/restartproto/file.go
+++ b/internal/restartproto/file.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"syscall"
 )
 
 // Version is the version of both files' form. A file of another version is not read.
@@ -38,11 +39,15 @@
 
 // readFile reads JSON of at most maxBytes into value, and accepts no unknown field.
 func readFile(path string, maxBytes int64, value any) error {
-	file, err := os.Open(path)
+	// Whatever else lies at the path, a FIFO above all, may never answer: opened like this it does not block.
+	file, err := os.OpenFile(path, os.O_RDONLY|syscall.O_NONBLOCK, 0)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = file.Close() }()
+	if info, err := file.Stat(); err != nil || !info.Mode().IsRegular() {
+		return errors.Join(fmt.Errorf("hot restart: %s: %w", path, ErrNotRegular), err)
+	}
 	text, err := io.ReadAll(io.LimitReader(file, maxBytes+1))
 	if err != nil {
 		return err
--- a/internal/restartproto/serverlist.go
+++ b/internal/restartproto/serverlist.go
@@ -37,8 +37,8 @@
 	return replaceFile(path, l)
 }
 
-// ReadServerList reads the file at path, without looking into the list itself. It returns ErrTooLarge, ErrMalformed,
-// ErrVersion, or the error of the file system.
+// ReadServerList reads the file at path, without looking into the list itself. It returns ErrNotRegular,
+// ErrTooLarge, ErrMalformed, ErrVersion, or the error of the file system.
 func ReadServerList(path string) (ServerList, error) {
 	var l ServerList
 	if err := readFile(path, maxServerListBytes, &l); err != nil {
