The example's commands work, and the log says why a client is rejected

Users saw: the first command of example/README.md is answered ERR, with nothing in the log; make run complains of a missing process where the toy is gone. Cause: the page's client sends before UP, which the balancer rejects and only counted; the Makefile's trap kills the toy twice, there or not.

--- a/Makefile
+++ b/Makefile
@@ -21,13 +21,14 @@
 # The balancer in front of two toy servers, with the toy discovery; see example/README.md.
 run: build
 	go build -o bin/ ./example/toy
-	bin/toy & toy=$$!; trap 'kill $$toy' EXIT INT TERM; GW_CONFIG=example/config.json bin/spurspread
+	bin/toy & toy=$$!; trap 'kill $$toy 2>/dev/null || :' EXIT; trap 'exit 0' INT TERM; \
+		GW_CONFIG=example/config.json bin/spurspread
 
 # The same program in front of toys of the other kind, which tell their load: example/pushed.json. Both can run at once.
 run-pushed: build
 	go build -o bin/ ./example/toy
 	bin/toy --pushed --nodes 127.0.0.1:9101,127.0.0.1:9102 --discovery 127.0.0.1:8501 & toy=$$!; \
-		trap 'kill $$toy' EXIT INT TERM; GW_CONFIG=example/pushed.json bin/spurspread
+		trap 'kill $$toy 2>/dev/null || :' EXIT; trap 'exit 0' INT TERM; GW_CONFIG=example/pushed.json bin/spurspread
 
 # Each fuzz target for FUZZTIME; what they find goes into testdata and is a test from then on.
 FUZZTIME ?= 30s
--- a/decision/answercause/answercause.go
+++ b/decision/answercause/answercause.go
@@ -72,6 +72,11 @@
 	Overdue:           "overdue",
 }
 
+// ClientFault reports whether the client did not keep to the protocol.
+func (c Cause) ClientFault() bool {
+	return c == Malformed || c == UnknownClass || c == DuplicateID || c == ClientTooEarly
+}
+
 // String is the cause's name in the statistics.
 func (c Cause) String() string {
 	if int(c) >= Count {
--- a/internal/logging/fields.go
+++ b/internal/logging/fields.go
@@ -7,6 +7,9 @@
 	Classes   = "classes"   // names of the request classes, in order, joined with commas
 	File      = "file"      // path of a file that was read
 	Count     = "count"     // servers in the list that the message is about
+
+	Cause      = "cause"      // why the balancer itself gave a final answer
+	Suppressed = "suppressed" // lines of this message that were left out since the last one
 )
 
 // Fields about discovery: how a watch stands, and how old the list is.
--- a/internal/proxy/downstream.go
+++ b/internal/proxy/downstream.go
@@ -175,7 +175,7 @@
 // fail answers a first line that can't be served, for a cause that is counted.
 func (c *downstreamConn) fail(cause answercause.Cause) {
 	c.proxy.stats.failed++
-	c.proxy.stats.unserved.add("", cause)
+	c.proxy.countUnserved("", cause)
 	c.sendFinal([]byte("ERR\r\n"))
 	c.closeGracefully()
 }
--- a/internal/proxy/downstream_mux.go
+++ b/internal/proxy/downstream_mux.go
@@ -169,7 +169,7 @@
 		return 0, ""
 	}
 	p.stats.rejected++
-	p.stats.unserved.add("", answercause.ChannelLimit)
+	p.countUnserved("", answercause.ChannelLimit)
 	busy := lineproto.AppendBusy(nil, millisRoundedUp(p.retryAfter()))
 	return channel.NoResources, string(bytes.TrimRight(busy, lineEnd))
 }
@@ -180,7 +180,7 @@
 	text, err := channel.String(data)
 	if err != nil || !isOpenLine(text) {
 		p.stats.failed++
-		p.stats.unserved.add("", answercause.Malformed)
+		p.countUnserved("", answercause.Malformed)
 		ch.Reject(channel.Prohibited, []byte("ERR"))
 		return
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -62,7 +62,9 @@
 	drain      drain
 	resumption resumption
 	stats      counters
-	fleet      fleetPosition
+
+	clientFaults clientFaultLog
+	fleet        fleetPosition
 }
 
 // New starts a proxy on the loop: it listens, and its decision core begins with the cached server list. It returns an
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -50,7 +50,7 @@
 	r := &request{proxy: p, downstream: client, firstLine: line}
 	if !p.requests.put(r) {
 		p.stats.rejected++
-		p.stats.unserved.add("", answercause.SlotsUsed)
+		p.countUnserved("", answercause.SlotsUsed)
 		client.sendFinal(lineproto.AppendBusy(nil, millisRoundedUp(p.retryAfter())))
 		client.closeGracefully()
 		r.transition(stateClosed)
@@ -181,7 +181,7 @@
 func (r *request) reject(retryAfter monotime.Micros, cause answercause.Cause) {
 	if r.state.unanswered() && !r.answeredStale() {
 		r.proxy.stats.rejected++
-		r.proxy.stats.unserved.add(r.className(), cause)
+		r.proxy.countUnserved(r.className(), cause)
 		r.answer(lineproto.AppendBusy(nil, millisRoundedUp(retryAfter)))
 	}
 }
@@ -190,7 +190,7 @@
 func (r *request) fail(cause answercause.Cause) {
 	if r.state.unanswered() && !r.answeredStale() {
 		r.proxy.stats.failed++
-		r.proxy.stats.unserved.add(r.className(), cause)
+		r.proxy.countUnserved(r.className(), cause)
 		r.answer([]byte("ERR\r\n"))
 	}
 }
--- a/internal/proxy/unserved.go
+++ b/internal/proxy/unserved.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"spurspread/decision/answercause"
+	"spurspread/decision/monotime"
 	"spurspread/internal/logging"
 )
 
@@ -46,6 +47,34 @@
 	u.byClass[class][cause]++
 }
 
+// clientFaultLogInterval is the least time between two log lines about clients that don't keep to the protocol: there
+// may be any number of them.
+const clientFaultLogInterval = 1 * monotime.Second
+
+// clientFaultLog is what is needed to log few of many clients' faults.
+type clientFaultLog struct {
+	loggedAt   monotime.Micros // 0: never
+	suppressed int             // faults since then
+}
+
+// countUnserved counts a final answer that the balancer itself gave, and logs the cause where it is the client's fault.
+func (p *Proxy) countUnserved(class string, cause answercause.Cause) {
+	p.stats.unserved.add(class, cause)
+	if !cause.ClientFault() {
+		return
+	}
+	now, faults := p.loop.Now(), &p.clientFaults
+	if faults.loggedAt > 0 && now-faults.loggedAt < clientFaultLogInterval {
+		faults.suppressed++
+		return
+	}
+	p.log.WithFields(logrus.Fields{
+		logging.Cause:      cause.String(),
+		logging.Suppressed: faults.suppressed,
+	}).Warn("client rejected")
+	*faults = clientFaultLog{loggedAt: now}
+}
+
 // unservedCount is one counter that is not 0.
 type unservedCount struct {
 	class string
