A client that connects late in a planned stop gets its answer

Callers saw: a client whose first line came just behind the stop's look at idle connections, 0.6 s or more after SIGTERM, read the end of the connection and no answer: a lost request. Cause: drain.check ends all connections without a request every 20 ms, also one accepted a moment before. Evidence: the new case of TestRequestsAroundTheStop on the code before: EOF, each time. Change: while the drain has time left, a connection is ended only 0.3 s after it was accepted, and the process waits for those. closeIdle takes that age; the tests that call it pass 0, which is what it did.

--- a/decision/drainschedule/drainschedule.go
+++ b/decision/drainschedule/drainschedule.go
@@ -23,6 +23,9 @@
 	LameDuckDuration = 2800 * monotime.Millisecond
 	// CheckInterval is how often the progress of a drain is looked at.
 	CheckInterval = 20 * monotime.Millisecond
+	// firstLineTime is how long a connection that comes while the process stops has for its first line: its client may
+	// have sent it already.
+	firstLineTime = 300 * monotime.Millisecond
 	// movesFrom is the part of the duration, as a divisor, that passes before the first move.
 	movesFrom = 2
 )
@@ -69,9 +72,18 @@
 // ClosesIdle reports whether a process that stops closes idle connections by now.
 func ClosesIdle(elapsed monotime.Micros) bool { return elapsed >= MinDuration }
 
+// IdleAge is from which age on a process that stops closes an idle connection: firstLineTime while there is time left of
+// the drain's duration, 0 after that.
+func IdleAge(elapsed, duration monotime.Micros) monotime.Micros {
+	if elapsed >= duration {
+		return 0
+	}
+	return firstLineTime
+}
+
 // Finished reports whether a process that stops is done: nothing remains, though no earlier than MinDuration, or the
-// time is up. Without requests and multiplexed client connections it closes its listener; once those clients have
-// closed, too, that have their final answer, it stops.
+// time is up. Without requests and multiplexed client connections it closes its listener; once new connections have had
+// their time for a first line and those clients have closed that have their final answer, it stops.
 func Finished(elapsed, duration monotime.Micros, remaining int) bool {
 	timeUp := elapsed >= duration+overtime
 	nothingLeft := elapsed >= MinDuration && remaining == 0
--- a/internal/proxy/downstream.go
+++ b/internal/proxy/downstream.go
@@ -46,6 +46,7 @@
 type downstreamConn struct {
 	proxy        *Proxy
 	conn         *eventloop.Conn
+	acceptedAt   monotime.Micros
 	firstLine    []byte // as far as it has arrived; never longer than a line may be
 	pings        int    // pings that were answered
 	rejectOnly   bool   // accepted for want of descriptors, only to be rejected
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -107,6 +107,9 @@
 // elapsed is the time since the drain began.
 func (d *drain) elapsed() monotime.Micros { return d.proxy.loop.Now() - d.began }
 
+// idleAge is from which age on idle connections are closed now.
+func (d *drain) idleAge() monotime.Micros { return drainschedule.IdleAge(d.elapsed(), d.duration) }
+
 // moveEstablished moves the established connections within what is left of the span since the drain began, and answers
 // all else after that.
 func (d *drain) moveEstablished(span monotime.Micros) {
@@ -178,12 +181,13 @@
 	elapsed := d.elapsed()
 	if drainschedule.ClosesIdle(elapsed) {
 		p.listener.closeUnusedMux()
-		p.listener.closeIdle()
+		p.listener.closeIdle(d.idleAge())
 	}
 	if drainschedule.Finished(elapsed, d.duration, p.requests.len()+len(p.listener.muxed)) {
 		p.listener.close()
 	}
-	if drainschedule.Finished(elapsed, d.duration, p.requests.len()+len(p.listener.muxed)+p.listener.lingering) {
+	waiting := p.listener.lingering + p.listener.idle.unanswered()
+	if drainschedule.Finished(elapsed, d.duration, p.requests.len()+len(p.listener.muxed)+waiting) {
 		p.log.WithField(logging.Aborted, p.requests.len()).Info("drained")
 		p.loop.Stop()
 		return
--- a/internal/proxy/idle.go
+++ b/internal/proxy/idle.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 
+	"spurspread/decision/monotime"
 	"spurspread/decision/overload"
 )
 
@@ -33,6 +34,26 @@
 	}
 }
 
+// unanswered is how many have no final answer.
+func (i *idleConns) unanswered() (n int) {
+	for class := overload.Silent; class < overload.EvictionClasses; class++ {
+		n += i.classes[class].Len()
+	}
+	return n
+}
+
+// accepted are those without a final answer that were accepted at a time or before.
+func (i *idleConns) accepted(until monotime.Micros) (all []*downstreamConn) {
+	for class := overload.Silent; class < overload.EvictionClasses; class++ {
+		for entry := i.classes[class].Front(); entry != nil; entry = entry.Next() {
+			if c := entry.Value.(*downstreamConn); c.acceptedAt <= until {
+				all = append(all, c)
+			}
+		}
+	}
+	return all
+}
+
 // oldest is the oldest connection of the first class that has any, from the given class on; nil where none has.
 func (i *idleConns) oldest(from overload.EvictionClass) *downstreamConn {
 	for class := from; class < overload.EvictionClasses; class++ {
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 
+	"spurspread/decision/monotime"
 	"spurspread/decision/overload"
 	"spurspread/decision/timeouts"
 	"spurspread/internal/eventloop"
@@ -32,7 +33,7 @@
 // accept takes a connection from the accept queue.
 func (l *listener) accept(adopt func(eventloop.Owner) (*eventloop.Conn, error)) {
 	l.evictIdle()
-	c := &downstreamConn{proxy: l.proxy, rejectOnly: l.proxy.descriptorsShort()}
+	c := &downstreamConn{proxy: l.proxy, acceptedAt: l.proxy.loop.Now(), rejectOnly: l.proxy.descriptorsShort()}
 	conn, err := adopt(c)
 	if err != nil {
 		return
@@ -55,9 +56,10 @@
 	}
 }
 
-// closeIdle ends all connections without a request. A request that arrives in this very turn is answered.
-func (l *listener) closeIdle() {
-	for c := l.idle.oldest(overload.Silent); c != nil; c = l.idle.oldest(overload.Silent) {
+// closeIdle ends the connections without a request that are at least so old. A request that arrives in this very turn
+// is answered.
+func (l *listener) closeIdle(age monotime.Micros) {
+	for _, c := range l.idle.accepted(l.proxy.loop.Now() - age) {
 		l.idle.remove(c)
 		c.expire()
 	}
@@ -78,6 +80,6 @@
 	l.closed = true
 	l.socket.Shut()
 	if l.proxy.drain.stopping && !l.proxy.drain.handingOver {
-		l.closeIdle()
+		l.closeIdle(l.proxy.drain.idleAge())
 	}
 }
--- a/internal/proxy/stop_ordering_test.go
+++ b/internal/proxy/stop_ordering_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"spurspread/decision"
+	"spurspread/decision/drainschedule"
 	"spurspread/decision/lifecycle"
 	"spurspread/decision/outcome"
 	"spurspread/decision/overload"
@@ -164,13 +165,24 @@
 			})
 			return all
 		},
+		"sent as its connection was found silent, late in the stop": func(g *harness) []*peer {
+			p := g.client("")
+			g.waitRead()
+			g.inLoop(func() {
+				g.proxy.Drain()
+				g.proxy.drain.began -= drainschedule.MinDuration + drainschedule.CheckInterval
+				g.proxy.drain.check()
+				p.say(openLine)
+			})
+			return []*peer{p}
+		},
 		"unread as resting connections are ended": func(g *harness) []*peer {
 			p := g.client("")
 			g.waitRead()
 			g.inLoop(func() {
 				g.proxy.Drain()
 				p.say(openLine)
-				g.proxy.listener.closeIdle()
+				g.proxy.listener.closeIdle(0)
 			})
 			return []*peer{p}
 		},
@@ -201,7 +213,7 @@
 		g.waitRead()
 		g.inLoop(func() {
 			g.proxy.Drain()
-			g.proxy.listener.closeIdle()
+			g.proxy.listener.closeIdle(0)
 			p.say(openLine)
 		})
 		p.ended(true)
