--- a/decision/drainschedule/drainschedule.go
+++ b/decision/drainschedule/drainschedule.go
@@ -72,8 +72,8 @@
 // ClosesIdle reports whether a process that stops closes idle connections by now.
 func ClosesIdle(elapsed monotime.Micros) bool { return elapsed >= MinDuration }
 
-// IdleAge is from which age on a process that stops closes an idle connection: firstLineTime while there is time left of
-// the drain's duration, 0 after that.
+// IdleAge is from which age on a process that stops closes an idle connection: firstLineTime while the drain has time
+// left, 0 after that.
 func IdleAge(elapsed, duration monotime.Micros) monotime.Micros {
 	if elapsed >= duration {
 		return 0
