A held request costs less for each server; decisions bit for bit as before

Cause: each look, every 40 ms, summed the set-ups over all servers, built the retry policy and checked its window for each server, and judged paused servers' warm-up first. Change: the set-ups under way are counted as they begin and end; the policy and its window are judged once a look, paused servers are passed over first, the relative weight is kept with the list.

--- a/decision/admission.go
+++ b/decision/admission.go
@@ -48,11 +48,7 @@
 	if b.settings.Passthrough {
 		return true
 	}
-	underWay := 0
-	for _, s := range b.servers {
-		underWay += s.pendingAttempts
-	}
-	return b.setups.Allows(underWay)
+	return b.setups.Allows(b.setupsUnderWay)
 }
 
 // rejectSetup decides whether a set-up is not started although a server was found, and if so counts it as shed. The
@@ -99,7 +95,7 @@
 		return answercause.SetupLimit
 	}
 	for _, s := range b.servers {
-		if b.mayServe(now, r, s) {
+		if r.mayBeServedBy(s, r.class.RetryPolicy()) {
 			return answercause.NoCapacity
 		}
 	}
--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -37,9 +37,11 @@
 	fleetSize   fleetsize.Estimate
 	fleetShare  float64 // part of the budgets of the whole fleet that each balancer may use, over 0 to 1
 
-	requests    map[uint32]*request // that have not ended
-	setups      concurrency.Limiter
-	retryTokens float64 // retries that may still be started; see earnRetryTokens
+	requests map[uint32]*request // that have not ended
+	setups   concurrency.Limiter
+	// setupsUnderWay is the sum of all servers' pendingAttempts.
+	setupsUnderWay int
+	retryTokens    float64 // retries that may still be started; see earnRetryTokens
 
 	loadModel       serverload.LoadModel
 	meanHint        float64 // of Request.LoadHint, in microseconds of work a second
--- a/decision/capacity.go
+++ b/decision/capacity.go
@@ -13,16 +13,13 @@
 	return initial + (1-initial)*float64(max(age, 0))/float64(b.settings.WarmupTime)
 }
 
-// relativeWeight is a server's weight over the mean of the Ready servers.
-func (b *Balancer) relativeWeight(s *server) float64 { return s.Weight / b.meanWeight }
-
 // hasSpareCapacity reports whether s may get one more connection that takes admissionCost tokens. It needs the
 // tokens, which come at a rate by the server's weight and this balancer's share of the fleet, and fewer connections
 // than the server was last seen to carry in time. Whoever finds no capacity in the home zone goes on to others. In
 // passthrough mode there is no such limit. The tokens are refilled up to now, whatever the verdict.
 func (b *Balancer) hasSpareCapacity(now Micros, s *server, admissionCost float64) bool {
 	share := max(b.fleetShare, slowstart.MinFleetShare)
-	s.budget.Refill(now, b.relativeWeight(s)*share, admissionCost)
+	s.budget.Refill(now, s.relativeWeight*share, admissionCost)
 	if b.settings.Passthrough {
 		return true
 	}
--- a/decision/discovery.go
+++ b/decision/discovery.go
@@ -36,7 +36,7 @@
 	s := b.serversByID[entry.Server]
 	switch {
 	case s == nil:
-		s = newServer()
+		s = newServer(&b.setupsUnderWay)
 		b.serversByID[entry.Server] = s
 		b.servers = append(b.servers, s)
 		s.setHealth(now, healthUnknown)
@@ -53,7 +53,7 @@
 	s.Weight = size
 }
 
-// updateMeanWeight computes the mean weight of the Ready servers; without any it stays.
+// updateMeanWeight computes the mean weight of the Ready servers, without any it stays, and all weights over it.
 func (b *Balancer) updateMeanWeight() {
 	total, ready := 0.0, 0.0
 	for _, s := range b.servers {
@@ -65,6 +65,9 @@
 	if ready > 0 {
 		b.meanWeight = total / ready
 	}
+	for _, s := range b.servers {
+		s.relativeWeight = s.Weight / b.meanWeight
+	}
 }
 
 // grantStartupTokens lets a balancer that has just started send each server more than a burst: clients of the process
--- a/decision/placement.go
+++ b/decision/placement.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"spurspread/decision/retry"
 	"spurspread/decision/splitmix"
 )
 
@@ -30,9 +31,13 @@
 // pickServer selects the server for r: of those that may have it now, one of the best health rank, of the home zone
 // before others, at random by selection weight. It returns nil where no server may have the request now.
 func (b *Balancer) pickServer(now Micros, r *request) *server {
+	policy := r.class.RetryPolicy()
+	if policy.RetryForbidden(&r.attemptHistory, now) {
+		return nil
+	}
 	var best selection
 	for _, s := range b.servers {
-		if !b.mayServe(now, r, s) {
+		if now < s.pausedUntil || !r.mayBeServedBy(s, policy) {
 			continue
 		}
 		warmup := b.warmupFactor(now, s)
@@ -84,21 +89,21 @@
 	return otherZone
 }
 
-// mayServe reports whether r may go to s at all: s is Ready, r is not pinned to another, and the class's retry
-// policy allows the server's location after earlier attempts.
-func (b *Balancer) mayServe(now Micros, r *request, s *server) bool {
+// mayBeServedBy reports whether r may go to s at all, while its class's retry policy allows any further attempt: s is
+// Ready, r is not pinned to another, and the policy allows the server's location after earlier attempts.
+func (r *request) mayBeServedBy(s *server, policy retry.Policy) bool {
 	if s.State != Ready || (r.pinnedTo != nil && r.pinnedTo != s) {
 		return false
 	}
-	return r.class.RetryPolicy().RetryAllowedAt(&r.attemptHistory, now, s.location())
+	return !r.attemptHistory.MayHaveExecuted() || policy.SharesKeys(&r.attemptHistory, s.location())
 }
 
-// mayReceive reports whether s can take r now: it is not paused, not the server that was tried last, has spare
-// capacity, a slow-start grant if it is warming up (warmup below 1; a request without admission cost, see
+// mayReceive reports whether s, which is not paused, can take r now: it is not the server that was tried last, has
+// spare capacity, a slow-start grant if it is warming up (warmup below 1; a request without admission cost, see
 // moveTarget, never gets one), and where servers report loads, utilization left for the request's load at its
 // class's priority.
 func (b *Balancer) mayReceive(now Micros, r *request, s *server, warmup float64) bool {
-	if now < s.pausedUntil || s.wasLastTriedBy(r) || !b.hasSpareCapacity(now, s, r.admissionCost) {
+	if s.wasLastTriedBy(r) || !b.hasSpareCapacity(now, s, r.admissionCost) {
 		return false
 	}
 	if warmup < 1 && (r.admissionCost == 0 || !b.slowStartAllows(now, s)) {
@@ -112,7 +117,7 @@
 // falls with its connections or load, and is much higher for one that has connections of the request's group. In
 // passthrough mode it is the weight alone, so that all balancers weigh alike.
 func (b *Balancer) selectionWeight(now Micros, r *request, s *server) float64 {
-	weight := b.relativeWeight(s)
+	weight := s.relativeWeight
 	if b.settings.Passthrough {
 		return weight
 	}
--- a/decision/requests.go
+++ b/decision/requests.go
@@ -66,7 +66,7 @@
 // assign starts the next attempt, at server s.
 func (r *request) assign(now Micros, s *server) {
 	s.charge(r)
-	s.pendingAttempts++
+	s.addPending()
 	s.lastTriedBy = triedByToken(r.id)
 	r.attempts++
 	r.server = s
@@ -77,7 +77,7 @@
 
 // establish makes the attempt under way an established connection.
 func (r *request) establish() {
-	r.server.pendingAttempts--
+	r.server.removePending()
 	r.server.addConnection(r)
 	r.wasEstablished = true
 	r.state = requestEstablished
@@ -102,7 +102,7 @@
 	case r.wasEstablished:
 		s.closingConnections--
 	default:
-		s.pendingAttempts--
+		s.removePending()
 	}
 	r.release()
 	r.server = nil
--- a/decision/retry/retry.go
+++ b/decision/retry/retry.go
@@ -100,6 +100,12 @@
 	if p.RetryForbidden(history, now) {
 		return false
 	}
+	return p.SharesKeys(history, server)
+}
+
+// SharesKeys decides the same without regard to time: whether a server at this location would discard a duplicate, or
+// there can be none that harms.
+func (p Policy) SharesKeys(history *AttemptHistory, server Location) bool {
 	if !history.mayHaveExecuted || p.Idempotency != IdempotentWithKey {
 		return true
 	}
--- a/decision/server.go
+++ b/decision/server.go
@@ -17,6 +17,8 @@
 	budget  slowstart.Budget
 	latency latency.Estimate
 
+	relativeWeight float64 // its weight over the mean of the Ready servers
+
 	health               healthState
 	enteredAt            [healthStateCount]Micros // when it last entered each state
 	consecutiveDemotions int                      // without demotionResetAfter of good service between
@@ -27,15 +29,29 @@
 	lastResetAt          Micros                   // when it last reset a connection
 
 	pendingAttempts    int            // attempts under way, those that are being cancelled included
+	setupsUnderWay     *int           // the balancer's sum of pendingAttempts over all servers
 	closingConnections int            // established ones that were moved or cancelled and have not ended yet
 	lastTriedBy        uint32         // the request that was sent to it last, as triedByToken
 	groupSizes         map[uint64]int // connections and attempts charged to it, by group
 	connections        []*request     // established ones; the order is arbitrary but decides, so it is reproducible
 }
 
-// newServer returns a server that has just been listed for the first time.
-func newServer() *server {
-	return &server{latency: latency.New(), groupSizes: map[uint64]int{}}
+// newServer returns a server that has just been listed for the first time. setupsUnderWay is where its set-ups are
+// counted beside those of all others.
+func newServer(setupsUnderWay *int) *server {
+	return &server{latency: latency.New(), groupSizes: map[uint64]int{}, setupsUnderWay: setupsUnderWay}
+}
+
+// addPending counts an attempt that starts.
+func (s *server) addPending() {
+	s.pendingAttempts++
+	*s.setupsUnderWay++
+}
+
+// removePending counts an attempt that ends or is established.
+func (s *server) removePending() {
+	s.pendingAttempts--
+	*s.setupsUnderWay--
 }
 
 // restarted forgets what was measured of the server's process before it restarted. Its established connections and
