Of two members, one that is heard is not held dead

Cause: the observer is the only witness then, and its own failed probe and 2 s of suspicion were enough; that the other's messages still came counted for nothing.

--- a/decision/membership/suspicion_test.go
+++ b/decision/membership/suspicion_test.go
@@ -151,3 +151,29 @@
 	}
 	t.Fatal("a member that it considers dead is not pinged")
 }
+
+// Of two members, one whose answers are all lost, but whose other messages come, is not declared dead: nobody else can
+// tell. It is once it falls silent, and at once where it reports this member dead.
+func TestOneOfTwoThatIsHeardIsNotDead(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  func(f *Fleet, now *monotime.Micros)
+		span monotime.Micros
+	}{
+		"silent":      {func(*Fleet, *monotime.Micros) {}, 2 * PairSuspicionTimeout},
+		"partitioned": {func(f *Fleet, now *monotime.Micros) { f.receiveDead(*now, selfOf(2)) }, contactTimeout},
+	} {
+		f, now := fleetOf(2)
+		for range 20 {
+			f.run(&now, contactTimeout*3/4, 2)
+			f.receiveUpdates(now, 2)
+		}
+		if s := f.StateOf(selfOf(2).ID); s == Dead {
+			t.Fatalf("%s: dead, though it sends", name)
+		}
+		c.end(f, &now)
+		f.run(&now, c.span, 2)
+		if s := f.StateOf(selfOf(2).ID); s != Dead {
+			t.Errorf("%s: %v in the end", name, s)
+		}
+	}
+}
