--- a/decision/membership/suspicion.go
+++ b/decision/membership/suspicion.go
@@ -200,8 +200,8 @@
 }
 
 // declareDead declares those members dead whose suspicion has lasted for MinSuspicionTimeout and which this member
-// could not reach itself, unless onlyWitnessHears. One that still sends messages and reports this member dead is not
-// paused: it is declared dead at once.
+// could not reach itself, unless inContactWithOnlyPeer. One that still sends messages and reports this member dead is
+// not paused: it is declared dead at once.
 func (f *Fleet) declareDead(now monotime.Micros) {
 	if f.suspectCount == 0 || f.Unhealthy(now) {
 		return
@@ -210,17 +210,17 @@
 		if p.state != Suspect || !p.ownProbeFailed {
 			continue
 		}
-		if p.partitioned || now-p.suspicionStart >= MinSuspicionTimeout && !f.onlyWitnessHears(now, p) {
+		if p.partitioned || now-p.suspicionStart >= MinSuspicionTimeout && !f.inContactWithOnlyPeer(now, p) {
 			f.applyUpdate(now, Update{ID: p.ID, State: Dead, Incarnation: p.incarnation})
 			p.deadByOwnProbe = true
 		}
 	}
 }
 
-// onlyWitnessHears reports whether this member, of two, received something of the other within contactTimeout. Nobody
-// else can confirm that the other is gone, and it runs: what is lost is this member's way to it. Where that is cut for
-// good the other one misses its answers, and reports this member dead.
-func (f *Fleet) onlyWitnessHears(now monotime.Micros, p *peer) bool {
+// inContactWithOnlyPeer reports whether this member, of two, received something of the other within contactTimeout.
+// Nobody else can confirm that the other is gone, and it runs: what is lost is this member's way to it. Where that is
+// cut for good the other one misses its answers, and reports this member dead.
+func (f *Fleet) inContactWithOnlyPeer(now monotime.Micros, p *peer) bool {
 	return f.liveOthers() <= 1 && now-p.lastContact < contactTimeout
 }
 
--- a/decision/membership/suspicion_test.go
+++ b/decision/membership/suspicion_test.go
@@ -154,7 +154,7 @@
 
 // Of two members, one whose answers are all lost, but whose other messages come, is not declared dead: nobody else can
 // tell. It is once it falls silent, and at once where it reports this member dead.
-func TestOneOfTwoThatIsHeardIsNotDead(t *testing.T) {
+func TestOneOfTwoInContactIsNotDead(t *testing.T) {
 	for name, c := range map[string]struct {
 		end  func(f *Fleet, now *monotime.Micros)
 		span monotime.Micros
