SIGTERM does not wait behind a reload whose file never answers

Operators saw: after a SIGHUP with the configuration on a file system that hangs, SIGTERM had no effect; only SIGKILL ended the process, with all connections cut off. Cause: one goroutine took the signals and read the files. Evidence: TestStopBehindAReloadThatHangs with a real process and a FIFO, on the code before: no 'drained' within 20 s.

--- a/cmd/spurspread/reload_test.go
+++ b/cmd/spurspread/reload_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -80,3 +81,36 @@
 		t.Error(err)
 	}
 }
+
+// A reload whose file never answers does not keep the process from ending when it is told to.
+func TestStopBehindAReloadThatHangs(t *testing.T) {
+	path, _ := configured(t, "127.0.0.1:8081", freePort(t), "127.0.0.1:8500", listener(t).Addr().String())
+	p := start(t, "GW_CONFIG="+path, "TMPDIR="+t.TempDir())
+	if err := os.Remove(path); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	hangs := time.AfterFunc(20*time.Second, func() { _ = p.cmd.Process.Kill() }) // only so that a fault ends the test
+	defer hangs.Stop()
+	signal := func(s unix.Signal) {
+		if err := p.cmd.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	signal(unix.SIGHUP)
+	for { // the reload has opened the file once it can be opened for writing; then it waits for what is written
+		writer, err := unix.Open(path, unix.O_WRONLY|unix.O_NONBLOCK, 0)
+		if err == nil {
+			defer func() { _ = unix.Close(writer) }()
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	signal(unix.SIGTERM)
+	p.logged("drained")
+	if err := p.cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+}
