--- a/cmd/spurspread/stopsoak_test.go
+++ b/cmd/spurspread/stopsoak_test.go
@@ -133,7 +133,8 @@
 	silent, clients := listener(t), freePort(t)
 	path, _ := configured(t, append(startServers(t, nil),
 		"127.0.0.1:8081", clients, "127.0.0.1:8500", silent.Addr().String())...)
-	p := start(t, "GW_CONFIG="+path, "TMPDIR="+t.TempDir())
+	const noSleepAtExit = "GORACE=atexit_sleep_ms=0" // the race detector's second before the exit is not the program's
+	p := start(t, "GW_CONFIG="+path, "TMPDIR="+t.TempDir(), noSleepAtExit)
 	var all sync.WaitGroup
 	for i := range play.established {
 		s, answer, err := open(clients, "index-sync", i)
