--- a/cmd/spurspread/main_test.go
+++ b/cmd/spurspread/main_test.go
@@ -83,6 +83,7 @@
 
 // What is wrong with a configuration is printed on one line.
 func TestBadConfiguration(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir()) // a list that another process stored there would take the place of the bad one
 	anyPort := env(t, "127.0.0.1:8081", "127.0.0.1:0")
 	for want, getenv := range map[string]func(string) string{
 		"GW_CONFIG names no":                 func(string) string { return "" },
--- a/example/readme_test.go
+++ b/example/readme_test.go
@@ -54,6 +54,7 @@
 	command := exec.Command("make", target)
 	command.Dir = ".."
 	command.Stdout, command.Stderr = write, write
+	command.Env = append(os.Environ(), "TMPDIR="+t.TempDir()) // other tests read what a balancer stores there
 	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
