--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -37,6 +37,7 @@
 // cases are the plays by name. A play returns what broke the rule, or an error if it could not run.
 var cases = map[string]func(*bench) (broken []string, err error){
 	"channel-copies": playChannelCopies,
+	"drain-lines":    playDrainLines,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -24,6 +23,18 @@
 	over     time.Time // when the node refused it, or saw that it was given up or ended; zero: not yet
 }
 
+// at returns how many attempts came to a node.
+func (a *attempts) at(node string) (count int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, one := range a.all {
+		if one.node == node {
+			count++
+		}
+	}
+	return count
+}
+
 // attempts are the attempts at all nodes, in the order in which they came.
 type attempts struct {
 	mu  sync.Mutex
@@ -56,8 +67,10 @@
 	setUp    time.Duration // it takes to set up a connection
 	message  time.Duration // it takes to answer a line
 	channels bool          // it speaks channels
-	// reply writes the answer to a client's line; nil: at once and whole.
-	reply func(w io.Writer, line string)
+	drained  chan struct{} // closed when the node drains
+	updating chan struct{} // closed when the node sends its clients what it has for them
+	// update writes what the node still has for a client when it drains; nil: nothing.
+	update func(w io.Writer, request string)
 
 	mu     sync.Mutex
 	slower float64 // so many times; 0: as ever
@@ -73,7 +86,8 @@
 	}
 	n := &node{
 		bench: b, id: id, addr: listener.Addr().String(), attempts: all,
-		awake: make(chan struct{}), gates: map[*gate]bool{},
+		awake: make(chan struct{}), drained: make(chan struct{}),
+		updating: make(chan struct{}), gates: map[*gate]bool{},
 	}
 	close(n.awake)
 	go func() {
@@ -192,24 +206,26 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		for {
-			line, err := reader.ReadString('\n')
-			if err != nil {
-				n.attempts.finish(one)
-				return
-			}
-			lines <- strings.TrimRight(line, "\r\n")
-		}
+		readLines(reader, lines)
+		n.attempts.finish(one)
 	}()
 	if !prepare(n, one, ended) {
 		return
 	}
 	n.run(one)
 	_, _ = fmt.Fprintf(g, "UP r-%s-%s\r\n", n.id, one.request)
+	updating := n.updating
 	for {
 		select {
 		case line := <-lines:
 			n.answer(g, line)
+		case <-updating:
+			updating = nil
+			n.sendUpdate(g, one)
+		case <-n.drained:
+			n.sendUpdate(g, one)
+			_, _ = fmt.Fprint(g, "MOVE\r\n")
+			return
 		case <-ended:
 			return
 		}
@@ -262,11 +278,26 @@
 	n.bench.logf("node %s: %s is over", n.id, one.request)
 }
 
-func (n *node) answer(w io.Writer, line string) {
-	if n.reply != nil {
-		n.reply(w, line)
-		return
+// updateAll makes the node send each client what it has for it.
+func (n *node) updateAll() {
+	n.bench.logf("node %s sends what it has", n.id)
+	close(n.updating)
+}
+
+// drain makes the node send all its clients away at once.
+func (n *node) drain() {
+	n.bench.logf("node %s drains", n.id)
+	close(n.drained)
+}
+
+func (n *node) sendUpdate(w io.Writer, one *attempt) {
+	if n.update != nil {
+		n.update(w, one.request)
 	}
+	n.bench.logf("node %s: %s has all that was for it", n.id, one.request)
+}
+
+func (n *node) answer(w io.Writer, line string) {
 	time.Sleep(n.scaled(n.message))
 	_, _ = fmt.Fprintf(w, "OK %s\r\n", line)
 }
@@ -297,23 +328,41 @@
 	if ch.Confirm(fmt.Sprintf("UP r-%s-%s", n.id, one.request)) != nil || conn.Err() != nil {
 		return
 	}
-	var text []byte
-	buf := make([]byte, 4096)
+	lines := make(chan string, 256)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		readLines(ch, lines)
+		n.attempts.finish(one)
+	}()
+	updating := n.updating
 	for {
-		count, err := ch.Read(buf)
-		text = append(text, buf[:count]...)
-		for {
-			line, rest, found := bytes.Cut(text, []byte("\r\n"))
-			if !found {
-				break
-			}
-			n.answer(ch, string(line))
-			text = rest
+		select {
+		case line := <-lines:
+			n.answer(ch, line)
+		case <-updating:
+			updating = nil
+			n.sendUpdate(ch, one)
+		case <-n.drained:
+			n.sendUpdate(ch, one)
+			_ = ch.Move("")
+			<-ended
+			return
+		case <-ended:
+			_ = ch.Close()
+			return
 		}
+	}
+}
+
+// readLines passes on the lines that come from r, until its end.
+func readLines(r io.Reader, lines chan<- string) {
+	reader := bufio.NewReader(r)
+	for {
+		line, err := reader.ReadString('\n')
 		if err != nil {
-			n.attempts.finish(one)
-			_ = ch.Close()
 			return
 		}
+		lines <- strings.TrimRight(line, "\r\n")
 	}
 }
