--- a/review/standin/discovery.go
+++ b/review/standin/discovery.go
@@ -39,6 +39,8 @@
 	addr  string
 
 	mu         sync.Mutex
+	wait       time.Duration // of a call until its turn
+	calls      int
 	servers    []server
 	changedAt  map[string]int // generation of each server's last change
 	generation int
@@ -98,7 +100,35 @@
 	return u
 }
 
+// crowd makes calls wait so long for their turn.
+func (d *discovery) crowd(wait time.Duration) {
+	d.bench.logf("discovery: a call waits %v for its turn", wait)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.wait = wait
+}
+
+// await waits for the turn of a call. It returns false if the caller has gone by then.
+func (d *discovery) await(r *http.Request) bool {
+	d.mu.Lock()
+	d.calls++
+	call, wait := d.calls, d.wait
+	d.mu.Unlock()
+	d.bench.logf("discovery: call %d from %s: %s", call, r.RemoteAddr, r.URL)
+	select {
+	case <-time.After(wait):
+		d.bench.logf("discovery: call %d is answered", call)
+		return true
+	case <-r.Context().Done():
+		d.bench.logf("discovery: call %d was given up by its caller", call)
+		return false
+	}
+}
+
 func (d *discovery) serve(w http.ResponseWriter, r *http.Request) {
+	if !d.await(r) {
+		return
+	}
 	if r.URL.Query().Get("stream") != "1" {
 		_ = json.NewEncoder(w).Encode(d.full())
 		return
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -38,6 +38,7 @@
 var cases = map[string]func(*bench) (broken []string, err error){
 	"channel-copies": playChannelCopies,
 	"drain-lines":    playDrainLines,
+	"crowded-drain":  playCrowdedDrain,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -66,6 +66,7 @@
 	attempts *attempts
 	setUp    time.Duration // it takes to set up a connection
 	message  time.Duration // it takes to answer a line
+	load     int           // of a connection, in microseconds of work a second, told after UP; 0: not told
 	channels bool          // it speaks channels
 	drained  chan struct{} // closed when the node drains
 	updating chan struct{} // closed when the node sends its clients what it has for them
@@ -209,11 +210,19 @@
 		readLines(reader, lines)
 		n.attempts.finish(one)
 	}()
+	if n.drains() {
+		n.bench.logf("node %s: BUSY to %s", n.id, one.request)
+		_, _ = fmt.Fprint(g, "BUSY\r\n")
+		return
+	}
 	if !prepare(n, one, ended) {
 		return
 	}
 	n.run(one)
 	_, _ = fmt.Fprintf(g, "UP r-%s-%s\r\n", n.id, one.request)
+	if n.load > 0 {
+		_, _ = fmt.Fprintf(g, "LOAD %d\r\n", n.load)
+	}
 	updating := n.updating
 	for {
 		select {
@@ -290,6 +299,16 @@
 	close(n.drained)
 }
 
+// drains reports whether the node drains, and so wants nothing new.
+func (n *node) drains() bool {
+	select {
+	case <-n.drained:
+		return true
+	default:
+		return false
+	}
+}
+
 func (n *node) sendUpdate(w io.Writer, one *attempt) {
 	if n.update != nil {
 		n.update(w, one.request)
@@ -321,6 +340,11 @@
 	one := n.attempts.add(requestID(ch.Line), n.id)
 	n.bench.logf("node %s, channel: %s", n.id, ch.Line)
 	defer n.over(one)
+	if n.drains() {
+		n.bench.logf("node %s: BUSY to %s", n.id, one.request)
+		_ = ch.Refuse(sshchan.ResourceShortage, "BUSY")
+		return
+	}
 	if !prepare(n, one, ch.Answered()) { // ends with the connection
 		return
 	}
