--- a/review/standin/drain_lines.go
+++ b/review/standin/drain_lines.go
@@ -117,6 +117,7 @@
 	case a := <-ch.Answered():
 		b.logf("client: %s answered %q", id, a.Line)
 		if a.Up {
+			go talk(ch)
 			return ch, id, nil
 		}
 	case <-time.After(2 * time.Second):
@@ -125,6 +126,16 @@
 	return nil, id, errors.New("not up")
 }
 
+// talk sends a line every 2 s until the channel has ended, as clients do.
+func talk(ch *sshchan.Channel) {
+	for i := 0; ; i++ {
+		time.Sleep(2 * time.Second)
+		if _, err := fmt.Fprintf(ch, "line %d\r\n", i); err != nil {
+			return
+		}
+	}
+}
+
 // sendUpdate writes an update of so many lines of this size, in one write.
 func (d *deliveries) sendUpdate(w io.Writer, request string, lines, size int) {
 	var text strings.Builder
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -36,9 +36,10 @@
 
 // cases are the plays by name. A play returns what broke the rule, or an error if it could not run.
 var cases = map[string]func(*bench) (broken []string, err error){
-	"channel-copies": playChannelCopies,
-	"drain-lines":    playDrainLines,
-	"crowded-drain":  playCrowdedDrain,
+	"channel-copies":   playChannelCopies,
+	"drain-lines":      playDrainLines,
+	"crowded-drain":    playCrowdedDrain,
+	"restart-channels": playRestartChannels,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -68,6 +68,7 @@
 	message  time.Duration // it takes to answer a line
 	load     int           // of a connection, in microseconds of work a second, told after UP; 0: not told
 	channels bool          // it speaks channels
+	download bool          // each client on a plain connection gets lines for as long as that lasts
 	drained  chan struct{} // closed when the node drains
 	updating chan struct{} // closed when the node sends its clients what it has for them
 	// update writes what the node still has for a client when it drains; nil: nothing.
@@ -223,6 +224,10 @@
 	if n.load > 0 {
 		_, _ = fmt.Fprintf(g, "LOAD %d\r\n", n.load)
 	}
+	if n.download {
+		n.sendDownload(g, lines)
+		return
+	}
 	updating := n.updating
 	for {
 		select {
