--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -38,6 +38,7 @@
 var cases = map[string]func(*bench) (broken []string, err error){
 	"channel-copies":   playChannelCopies,
 	"drain-lines":      playDrainLines,
+	"load-hint":        playLoadHint,
 	"crowded-drain":    playCrowdedDrain,
 	"restart-channels": playRestartChannels,
 }
