--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -39,6 +39,7 @@
 	"channel-copies":   playChannelCopies,
 	"drain-lines":      playDrainLines,
 	"load-hint":        playLoadHint,
+	"short-file":       playShortFile,
 	"crowded-drain":    playCrowdedDrain,
 	"restart-channels": playRestartChannels,
 }
