A server's MOVE on a channel no longer overtakes lines that it sent before

Cause: mux hands data and EOF to a channel's owner in order, by Read, but a channel request at once. The move request ended the attempt while up to a window of data was unread, since the client's window was used up, and closing the channel discarded it. Evidence: a trace in a scratch copy shows for each client one move request with 36,160 or 36,182 bytes unread and a discard of just these bytes in the same call chain; no other discard.

Change: request.moveByServer notes how many bytes were received before the request; MOVE follows when they are forwarded. discarded_bytes in the statistics counts what channels discard.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -152,6 +152,10 @@
 	}
 }
 
+// Buffered returns the number of received bytes that the process holds and Read has not returned yet. It is always 0,
+// since they stay in the kernel until Read.
+func (c *Conn) Buffered() int { return 0 }
+
 // Write sends the parts in one gathered write and buffers the bytes that the kernel does not accept, or all while the
 // Conn is connecting. The caller has to limit that buffer, by checking Pending. An error is reported by a later Read.
 // After an error, CloseWrite or Close, Write does nothing.
--- a/internal/logging/fields.go
+++ b/internal/logging/fields.go
@@ -63,6 +63,7 @@
 	UpstreamChannels   = "upstream_channels"    // channels on MuxUpstreams
 	ReceiveWindowBytes = "receive_window_bytes" // bytes that peers may send, plus buffered bytes from them
 	QueuedBytes        = "queued_bytes"         // bytes that are buffered for clients and servers
+	DiscardedBytes     = "discarded_bytes"      // bytes that channels discarded because they ended first
 	MuxUpstreamsFailed = "mux_upstreams_failed" // counter: MuxUpstreams that broke or could not be opened
 	CorrelatedFailures = "correlated_failures"  // counter: attempts, beyond the first, that such a failure ended
 )
--- a/internal/mux/budget.go
+++ b/internal/mux/budget.go
@@ -7,6 +7,7 @@
 	Limit     int64  // bytes; once this many are committed, only Floor is granted
 	Floor     uint32 // bytes; the smallest window, so that every channel makes progress
 	committed int64  // bytes; see Committed
+	discarded int64  // bytes; see Discarded
 }
 
 // grantDivisor limits a window to this fraction, a sixteenth, of the remaining budget.
@@ -22,3 +23,7 @@
 // Committed returns the number of bytes that peers may still send without a further grant, plus the number of received
 // bytes that are buffered.
 func (b *Budget) Committed() int64 { return b.committed }
+
+// Discarded returns the number of bytes that channels have discarded, because they ended before the bytes were read by
+// their owner or sent to the peer.
+func (b *Budget) Discarded() int64 { return b.discarded }
--- a/internal/mux/channel.go
+++ b/internal/mux/channel.go
@@ -84,7 +84,7 @@
 	o := ch.owner
 	unanswered := ch.state == openSent
 	ch.peerEOF, ch.peerClose = ch.peerEOF || graceful, true
-	ch.sendBuffer = nil
+	ch.discardUnsent()
 	ch.drop()
 	if o == nil {
 		ch.discardUnread()
--- a/internal/mux/mux.go
+++ b/internal/mux/mux.go
@@ -51,7 +51,8 @@
 	Readable()
 	// Flushed is called when all buffered bytes were sent, if the owner has seen a Pending above 0.
 	Flushed()
-	// Requested is called for a request on the channel, and reports whether the request is known.
+	// Requested is called when a request arrives, and reports whether the request is known. Data that the peer sent
+	// before the request may not have been read yet: Channel.Buffered returns how many bytes.
 	Requested(name, data []byte) bool
 }
 
--- a/internal/mux/receive.go
+++ b/internal/mux/receive.go
@@ -31,6 +31,9 @@
 	return 0, eventloop.ErrAgain
 }
 
+// Buffered returns the number of received bytes that Read has not returned yet.
+func (ch *Channel) Buffered() int { return len(ch.receiveBuffer) + len(ch.packetData) }
+
 // grant enlarges the receive window by n bytes. The caller tells the peer.
 func (ch *Channel) grant(n uint32) {
 	ch.receiveWindow += n
@@ -45,7 +48,7 @@
 		return
 	}
 	target := ch.conn.cfg.Budget.target(ch.conn.cfg.Window)
-	outstanding := ch.receiveWindow + uint32(len(ch.receiveBuffer)+len(ch.packetData))
+	outstanding := ch.receiveWindow + uint32(ch.Buffered())
 	if outstanding > target/2 {
 		return
 	}
@@ -56,7 +59,8 @@
 // discardUnread discards received data that will not be read, and returns its bytes to the budget. This includes the
 // bytes of packetData, which the caller clears if the channel may still be read.
 func (ch *Channel) discardUnread() {
-	ch.conn.cfg.Budget.committed -= int64(len(ch.receiveBuffer) + len(ch.packetData))
+	ch.conn.cfg.Budget.committed -= int64(ch.Buffered())
+	ch.conn.cfg.Budget.discarded += int64(ch.Buffered())
 	ch.receiveBuffer = nil
 }
 
--- a/internal/mux/send.go
+++ b/internal/mux/send.go
@@ -104,7 +104,7 @@
 	ch.sentClose = true
 	ch.discardUnread()
 	ch.packetData = nil
-	ch.sendBuffer = nil
+	ch.discardUnsent()
 	if ch.conn.stage == finished {
 		return
 	}
@@ -114,6 +114,12 @@
 	}
 }
 
+// discardUnsent discards data that will not be sent.
+func (ch *Channel) discardUnsent() {
+	ch.conn.cfg.Budget.discarded += int64(len(ch.sendBuffer))
+	ch.sendBuffer = nil
+}
+
 // Pending returns the number of buffered bytes that are not sent yet. If it is above 0, the owner's Flushed is called
 // once they are sent.
 func (ch *Channel) Pending() int {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -25,7 +25,7 @@
 	server        *discovery.Server
 	chosenListing recall.Listing // listing of the server when the attempt started
 	number        int            // index among the request's attempts, from 0 on
-	upstream      transport      // nil until it is dialed or its channel opened
+	upstream      upstream       // nil until it is dialed or its channel opened
 	muxConn       *muxUpstreamConn
 	startedAt     monotime.Micros
 	deadline      monotime.Micros // the attempt ends then unless it is established
@@ -221,7 +221,7 @@
 			r.clientStalled = true
 			return
 		}
-		n, err := a.upstream.Read(a.proxy.buffers.read)
+		n, err := a.upstream.Read(r.pendingMove.limitRead(a.proxy.buffers.read))
 		if errors.Is(err, eventloop.ErrAgain) {
 			return
 		}
--- a/internal/proxy/established.go
+++ b/internal/proxy/established.go
@@ -25,7 +25,7 @@
 	lastReply     monotime.Micros   // arrival of the server's last line, LOAD included; at first the time of UP
 	endStatus     outcome.Status    // outcome if the server closes the connection now, derived from its last lines
 	clientStalled bool              // too much data is pending for the client, so the server is not read
-	movePending   bool              // MOVE follows as soon as the current line from the server is complete
+	pendingMove   pendingMove       // a move whose MOVE can't be sent yet
 	partial       lineBuffer        // incomplete line from the server, if only complete ones are forwarded
 	resumable     *resumableStream  // not nil if the client takes tokens; set before the request is established
 	latency       *serverLatency    // message latency of the server
@@ -190,16 +190,17 @@
 	}
 }
 
-// forwardToClient forwards the server's bytes and evaluates the lines among them. If a move is pending, it forwards
-// only the rest of the current line, after which the client receives MOVE.
+// forwardToClient forwards the server's bytes and evaluates the lines among them. If a move waits for the end of the
+// current line, it forwards only the rest of that line, after which the client receives MOVE.
 func (r *request) forwardToClient(b []byte) {
+	received, movePending := len(b), r.pendingMove.wanted
 	if r.buffersPartialLines() {
 		var movedByServer bool
 		if b, movedByServer = r.partial.completeLines(b); movedByServer {
 			defer r.startMove(outcome.Cancelled, false)
 		}
 	}
-	if r.movePending {
+	if r.pendingMove.waitsForLineEnd() {
 		b = firstLineOf(b)
 	}
 	load, reported := r.recordServerLines(b)
@@ -207,8 +208,8 @@
 	if reported {
 		r.reportMetric(load)
 	}
-	if r.movePending {
-		r.move(outcome.Cancelled)
+	if movePending {
+		r.continueMove(received)
 	}
 }
 
--- a/internal/proxy/stats.go
+++ b/internal/proxy/stats.go
@@ -60,6 +60,7 @@
 	fields[logging.UpstreamChannels] = channels
 	fields[logging.ReceiveWindowBytes] = p.buffers.windows.Committed()
 	fields[logging.QueuedBytes] = p.queuedBytes()
+	fields[logging.DiscardedBytes] = p.buffers.windows.Discarded()
 	fields[logging.MuxUpstreamsFailed] = p.stats.upstreamsFailed
 	fields[logging.CorrelatedFailures] = p.stats.sharedFailures
 }
--- a/internal/proxy/upstream_channel.go
+++ b/internal/proxy/upstream_channel.go
@@ -115,8 +115,6 @@
 	if string(name) != channel.Move {
 		return false
 	}
-	if k.attempt.request.state == stateEstablished {
-		k.attempt.request.startMove(outcome.Cancelled, false)
-	}
+	k.attempt.request.moveByServer()
 	return true
 }
--- a/lab/sshchan/channel.go
+++ b/lab/sshchan/channel.go
@@ -49,6 +49,9 @@
 	Line string // the UP line, or the text of the refusal
 }
 
+// Conn returns the connection that carries the channel.
+func (ch *Channel) Conn() *Conn { return ch.conn }
+
 // Answered returns a Go channel that receives the answer to the open. It is closed without an answer if the SSH channel
 // or the connection ends before.
 func (ch *Channel) Answered() <-chan Answer { return ch.answer }
