DISCONNECT no longer overtakes lines and MOVE that wait on the last channel

Cause: a channel that is moved while data waits for the client's window was counted as gone at once, so that its connection was unused and idle, and a stop, a lame duck or an eviction ended it before data, MOVE and CLOSE had left.

Change: a channel counts until its CLOSE is sent, which CloseAfterFlush now reports. The linger time and the stop's limit stay; at that limit what is left gets DISCONNECT.

--- a/internal/mux/channel.go
+++ b/internal/mux/channel.go
@@ -42,6 +42,7 @@
 	answered           bool   // the peer has answered OPEN
 	finalRequest       string // name of a request to be sent before EOF; "" for none
 	finalRequestData   []byte
+	onClosed           func() // to be called once CLOSE is sent or the connection is lost; nil for none
 }
 
 // SetOwner sets the owner of a channel that the peer has opened.
@@ -79,6 +80,14 @@
 	ch.conn.channels.Drop(ch.localID)
 }
 
+// notifyClosed calls onClosed, once.
+func (ch *Channel) notifyClosed() {
+	if f := ch.onClosed; f != nil {
+		ch.onClosed = nil
+		f()
+	}
+}
+
 // connectionLost ends the channel after the connection has ended; graceful is as for Conn.Lost.
 func (ch *Channel) connectionLost(graceful bool) {
 	o := ch.owner
@@ -88,6 +97,7 @@
 	ch.drop()
 	if o == nil {
 		ch.discardUnread()
+		ch.notifyClosed()
 		return
 	}
 	if unanswered {
--- a/internal/mux/mux_test.go
+++ b/internal/mux/mux_test.go
@@ -181,7 +181,7 @@
 		t.Fatalf("server read %q, end %v; client read %q, end %v; want T 1 and EOF, OK and no end",
 			b.got, b.end, a.got, a.end)
 	}
-	b.ch.CloseAfterFlush(channel.Move, channel.AppendString(nil, []byte("T")))
+	b.ch.CloseAfterFlush(channel.Move, channel.AppendString(nil, []byte("T")), nil)
 	exchange(t, client, server)
 	if !errors.Is(a.end, io.EOF) || len(a.requests) != 1 || client.c.Len()+server.c.Len() != 0 {
 		t.Fatalf("end %v, requests %q, %d channels left, want EOF, one request and none",
@@ -612,7 +612,7 @@
 		"end": func(t *rapid.T) {
 			s := m.pick(t, m.all())
 			if s.ch.state == established && s.ch.owner != nil {
-				s.ch.CloseAfterFlush("", nil)
+				s.ch.CloseAfterFlush("", nil, nil)
 			}
 		},
 		"close": func(t *rapid.T) { m.pick(t, m.all()).ch.Close() },
--- a/internal/mux/send.go
+++ b/internal/mux/send.go
@@ -105,13 +105,13 @@
 	ch.discardUnread()
 	ch.packetData = nil
 	ch.discardUnsent()
-	if ch.conn.stage == finished {
-		return
-	}
-	ch.conn.send(&channel.Message{Type: channel.Close, Channel: ch.peerID})
-	if ch.peerClose {
-		ch.drop()
+	if ch.conn.stage != finished {
+		ch.conn.send(&channel.Message{Type: channel.Close, Channel: ch.peerID})
+		if ch.peerClose {
+			ch.drop()
+		}
 	}
+	ch.notifyClosed()
 }
 
 // discardUnsent discards data that will not be sent.
@@ -135,9 +135,12 @@
 	ch.sendDueEnds()
 }
 
-// CloseAfterFlush closes the channel in order, with EOF and CLOSE, once the buffer is sent. If name is not empty, a
-// request with this name and data is sent before EOF. The owner is not notified any more.
-func (ch *Channel) CloseAfterFlush(name string, data []byte) {
+// CloseAfterFlush closes an established channel in order, with EOF and CLOSE, once the buffer is sent. If name is not
+// empty, a request with this name and data is sent before EOF. The owner is not notified any more. onClosed is called,
+// once, as soon as CLOSE is sent, possibly by CloseAfterFlush itself, or the connection is lost; until then something
+// that the peer has to receive may still wait for its window.
+func (ch *Channel) CloseAfterFlush(name string, data []byte, onClosed func()) {
+	ch.onClosed = onClosed
 	ch.eofRequested, ch.closeAfterEOF, ch.owner = true, true, nil
 	ch.finalRequest, ch.finalRequestData = name, data
 	ch.sendDueEnds()
--- a/internal/proxy/channels_test.go
+++ b/internal/proxy/channels_test.go
@@ -39,13 +39,16 @@
 	cfg.Channels.UseUpstream = false
 }
 
+// clientWindow is the window of a client's channels, in bytes.
+const clientWindow = 32 << 10
+
 // connectMux opens a client's multiplexed connection.
 func (h *harness) connectMux() *sshchan.Conn {
 	h.t.Helper()
 	raw, err := net.Dial("tcp", h.proxy.Addr().String())
 	h.check(err)
 	h.check(raw.SetDeadline(time.Now().Add(testTimeout)))
-	c, err := sshchan.Client(raw, 32<<10)
+	c, err := sshchan.Client(raw, clientWindow)
 	h.check(err)
 	h.t.Cleanup(func() { _ = c.Close() })
 	return c
--- a/internal/proxy/downstream.go
+++ b/internal/proxy/downstream.go
@@ -233,7 +233,7 @@
 	if !c.lingering {
 		c.Readable(c.conn)
 	}
-	if c.request == nil && (c.mux == nil || c.mux.requests == 0) {
+	if c.request == nil && (c.mux == nil || c.mux.unfinished == 0) {
 		c.close()
 	}
 }
--- a/internal/proxy/downstream_mux.go
+++ b/internal/proxy/downstream_mux.go
@@ -25,7 +25,7 @@
 	mux              *mux.Conn
 	lastReceived     monotime.Micros
 	serviceRequested bool // the client has requested the service and may open channels
-	requests         int  // number of requests on the connection
+	unfinished       int  // number of channels that carry a request, or have something to send before they are closed
 	openLimiter      overload.OpenLimiter
 	closed           bool
 }
@@ -141,7 +141,7 @@
 	}
 	p := m.conn.proxy
 	idle := p.cfg.Channels.IdleTimeout
-	switch keepalive.Downstream(p.loop.Now()-m.lastReceived, idle, m.requests) {
+	switch keepalive.Downstream(p.loop.Now()-m.lastReceived, idle, m.unfinished) {
 	case keepalive.Close:
 		m.disconnect("nothing was heard for too long")
 		return
@@ -152,9 +152,17 @@
 	m.conn.startTimer(keepalive.DownstreamCheckInterval(idle), m.checkIdle)
 }
 
-// closeIfUnused disconnects the client if it has no requests, because the balancer stops or is a lame duck.
+// closeIfUnused disconnects the client if no channel is unfinished, because the balancer stops or is a lame duck.
 func (m *muxDownstreamConn) closeIfUnused() {
-	if m.requests == 0 && !m.closed {
+	if m.unfinished == 0 {
+		m.disconnectForStop()
+	}
+}
+
+// disconnectForStop disconnects the client because the balancer stops or is a lame duck. What still waits on its
+// channels is lost.
+func (m *muxDownstreamConn) disconnectForStop() {
+	if !m.closed {
 		m.disconnect("the balancer stops")
 	}
 }
@@ -192,7 +200,7 @@
 	line := make([]byte, 0, len(text)+len(lineEnd))
 	line = append(append(line, text...), lineEnd...)
 	k := &downstreamChannel{conn: m, Channel: ch}
-	m.requests++
+	m.unfinished++
 	p.listener.idle.remove(m.conn)
 	ch.SetOwner(k)
 	if r := p.openRequest(k, line[:len(text)], line, m.conn.rejectOnly); r.state != stateClosed {
@@ -215,10 +223,11 @@
 	sendsMove bool   // closeGracefully sends MOVE
 	answered  bool   // the channel was rejected with the final answer, which ended it
 	released  bool
+	linger    eventloop.Ref // timer that closes the channel if the client does not read what is pending
 }
 
-// release removes the channel's request from its connection's count. A connection without requests becomes idle and,
-// during a drain, is closed. Only the first call has an effect.
+// release removes the channel from its connection's count, once nothing is left to send on it. A connection without
+// unfinished channels becomes idle and, during a drain, is closed. Only the first call has an effect.
 func (k *downstreamChannel) release() {
 	if k.released {
 		return
@@ -226,8 +235,8 @@
 	k.released = true
 	k.request = nil
 	m := k.conn
-	m.requests--
-	if m.requests > 0 || m.closed {
+	m.unfinished--
+	if m.unfinished > 0 || m.closed {
 		return
 	}
 	p := m.conn.proxy
@@ -289,10 +298,11 @@
 }
 
 // closeGracefully ends the channel, after MOVE if sendMove was called. If data is pending, the client gets
-// timeouts.Linger to read it before the channel is closed.
+// timeouts.Linger to read it before the channel is closed; until then the connection stays in use.
 func (k *downstreamChannel) closeGracefully() {
-	defer k.release()
+	k.request = nil
 	if k.answered {
+		k.release()
 		return
 	}
 	name, data := "", []byte(nil)
@@ -300,9 +310,9 @@
 		name, data = channel.Move, channel.AppendString(nil, k.moveToken)
 	}
 	ch := k.Channel
-	ch.CloseAfterFlush(name, data)
+	ch.CloseAfterFlush(name, data, k.release)
 	if ch.Pending() > 0 {
-		k.conn.conn.proxy.loop.After(timeouts.Linger, ch.Close)
+		k.linger = k.conn.conn.proxy.loop.After(timeouts.Linger, ch.Close)
 	}
 }
 
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -195,6 +195,7 @@
 	waiting := p.listener.lingering + p.listener.idle.unanswered()
 	if drainschedule.Finished(elapsed, d.duration, p.requests.len()+len(p.listener.muxConns)+waiting) {
 		p.log.WithField(logging.Aborted, p.requests.len()).Info("drained")
+		p.listener.disconnectMux()
 		p.loop.Stop()
 		return
 	}
--- a/internal/proxy/end_order_test.go
+++ b/internal/proxy/end_order_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"spurspread/decision"
+	"spurspread/decision/drainschedule"
+	"spurspread/decision/monotime"
 	"spurspread/decision/outcome"
 	"spurspread/lab/sshchan"
 )
@@ -74,3 +76,71 @@
 		})
 	}
 }
+
+// withhold establishes a request of a client with channels that does not grow its window, and has the server send more
+// than that window, so that some of it waits in the proxy for the client.
+func (h *harness) withhold() (client *lineStream) {
+	h.t.Helper()
+	client, server := h.establishStreams(true, false)
+	client.ch.WithholdCredit(true)
+	lines := strings.Repeat(strings.Join(waitingLines, ""), 2)
+	server.send(lines)
+	for pending := 0; pending != len(lines)-clientWindow; {
+		h.onLoop(func() { pending = h.onlyRequest().downstream.Pending() })
+	}
+	return client
+}
+
+// At a planned stop, DISCONNECT overtook the lines and the MOVE that waited for the window of the connection's last
+// channel; so did evictions and the closing of idle connections (incident 017).
+func TestDisconnectBehindWaitingLines(t *testing.T) {
+	for name, end := range map[string]func(*Proxy, *muxDownstreamConn){
+		"unused":   func(p *Proxy, _ *muxDownstreamConn) { p.listener.closeUnusedMux() },
+		"idle":     func(p *Proxy, _ *muxDownstreamConn) { p.listener.closeIdle(0) },
+		"evicted":  func(_ *Proxy, m *muxDownstreamConn) { m.conn.evict() },
+		"finished": func(p *Proxy, _ *muxDownstreamConn) { p.drain.checkFinished() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1, sendToFirst, enableChannels)
+			client := h.withhold()
+			h.onLoop(func() {
+				p := h.proxy
+				k := h.onlyRequest().downstream.(*downstreamChannel)
+				p.Drain()
+				p.drain.startedAt -= 2 * drainschedule.MinDuration // idle connections are closed from now on
+				p.drain.duration = 60 * monotime.Second            // a slow test must not use up the stop's time
+				h.onlyRequest().startMove(outcome.Cancelled, true)
+				end(p, k.conn)
+				if k.conn.closed {
+					t.Error("connection closed while its last channel has lines and MOVE to send")
+				}
+				p.loop.Cancel(&k.linger) // a slow test must not use up the client's time
+			})
+			client.ch.WithholdCredit(false)
+			client.expectLines()
+			client.expectLines()
+			client.expectMove()
+			conn := client.ch.Conn()
+			if ch := conn.Accept(); ch != nil || conn.DisconnectReason != "11 the balancer stops" {
+				t.Errorf("disconnected with %q, want the reason that the balancer stops", conn.DisconnectReason)
+			}
+		})
+	}
+}
+
+// A client that does not read until the stop's time is up still gets DISCONNECT, and does not hold the process.
+func TestStopDoesNotWaitForReader(t *testing.T) {
+	h := newHarness(t, 1, sendToFirst, enableChannels)
+	client := h.withhold()
+	h.onLoop(func() {
+		h.proxy.Drain()
+		h.onlyRequest().startMove(outcome.Cancelled, true)
+		h.proxy.drain.startedAt -= h.proxy.drain.duration + monotime.Second // the time is up
+		h.proxy.drain.checkFinished()
+	})
+	h.waitStopped()
+	conn := client.ch.Conn()
+	if ch := conn.Accept(); ch != nil || conn.DisconnectReason != "11 the balancer stops" {
+		t.Errorf("disconnected with %q, want the reason that the balancer stops", conn.DisconnectReason)
+	}
+}
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -67,7 +67,14 @@
 	}
 }
 
-// closeUnusedMux disconnects the multiplexed connections without requests.
+// disconnectMux disconnects all multiplexed connections.
+func (l *listener) disconnectMux() {
+	for m := range l.muxConns {
+		m.disconnectForStop()
+	}
+}
+
+// closeUnusedMux disconnects the multiplexed connections without unfinished channels.
 func (l *listener) closeUnusedMux() {
 	for m := range l.muxConns {
 		m.closeIfUnused()
