A move by the balancer no longer overtakes lines that it has received

When the core, a drain or an unresponsive server has a client moved while lines received on its node's channel wait because the client reads slowly, the client gets MOVE and an end in order without these lines.

Cause: request.move sent MOVE whenever the client was between two lines and ended the attempt, whose channel discarded what was unread.

Change: a move waits for the bytes received before it, at most 0.45 s, then for the end of the line, 0.9 s in all as before, which a stop's schedule counts on. A drain limits a pending move that the server asked for in the same way.

--- a/decision/drainschedule/drainschedule.go
+++ b/decision/drainschedule/drainschedule.go
@@ -20,6 +20,9 @@
 	// MoveLineTimeout is the time that a move waits for the line in transmission to end. After that the connection is
 	// aborted, because MOVE can't be sent in the middle of a line.
 	MoveLineTimeout = 900 * monotime.Millisecond
+	// MoveDataTimeout is the time that a move waits for a slow client to take the data that was received before it. It
+	// is the first part of MoveLineTimeout; the rest is left for the line in transmission and for MOVE.
+	MoveDataTimeout = MoveLineTimeout / 2
 	// LameDuckDuration is the time over which a lame duck's moves are spread. No client may be left after 4 s, so this
 	// leaves time for a line in transmission to end.
 	LameDuckDuration = 2800 * monotime.Millisecond
--- a/internal/proxy/end_order_test.go
+++ b/internal/proxy/end_order_test.go
@@ -7,6 +7,7 @@
 
 	"spurspread/decision"
 	"spurspread/decision/drainschedule"
+	"spurspread/decision/keepalive"
 	"spurspread/decision/monotime"
 	"spurspread/decision/outcome"
 	"spurspread/lab/sshchan"
@@ -39,6 +40,39 @@
 	})
 }
 
+// establishedRequest returns the only established request. It must be called on the loop.
+func (h *harness) establishedRequest() *request {
+	for r := range h.proxy.requests.all {
+		if r.state == stateEstablished {
+			return r
+		}
+	}
+	return nil
+}
+
+// awaitEndReceived waits until the proxy has received the end that a client or a server has sent. On a plain connection
+// it stays in the kernel, as the readers are stalled.
+func (h *harness) awaitEndReceived(from *lineStream, isClient, disconnected bool) {
+	h.t.Helper()
+	switch {
+	case from.plain != nil:
+	case disconnected:
+		for left := 1; left > 0; {
+			h.onLoop(func() {
+				if left = len(h.proxy.upstreams.conns); isClient {
+					left = len(h.proxy.listener.muxConns)
+				}
+			})
+		}
+	case isClient:
+		ch, err := from.ch.Conn().Open("PING")
+		h.check(err)
+		h.expectOpenReply(ch, false, 1, "ERR")
+	default:
+		h.awaitProcessed(from)
+	}
+}
+
 // awaitProcessed waits until the proxy has processed all that the server has sent on its multiplexed connection: it
 // sends a request over it, which the server rejects.
 func (h *harness) awaitProcessed(server *lineStream) {
@@ -77,6 +111,92 @@
 	}
 }
 
+// A move by this balancer overtook lines that it had received on a channel and that waited for the client (incident
+// 018).
+func TestMoveBehindReceivedLines(t *testing.T) {
+	for name, move := range map[string]func(h *harness, r *request){
+		"core":  func(h *harness, r *request) { h.proxy.apply(decision.MoveConnection{ID: uint32(r.ref)}) },
+		"drain": func(_ *harness, r *request) { r.startMove(outcome.Cancelled, true) },
+		"unresponsive server": func(_ *harness, r *request) {
+			r.attempt.muxConn.lastReceived -= keepalive.UpstreamTimeout
+			r.attempt.muxConn.checkAlive()
+		},
+		"drain after the server's move": func(_ *harness, r *request) {
+			r.moveByServer()
+			r.startMove(outcome.Cancelled, true)
+		},
+	} {
+		for _, clientMux := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, client with channels: %v", name, clientMux), func(t *testing.T) {
+				h := newHarness(t, 1, sendToFirst, enableChannels)
+				client, server := h.establishStreams(clientMux, true)
+				h.stallReaders()
+				server.send(strings.Join(waitingLines, ""))
+				h.awaitProcessed(server)
+				h.onLoop(func() {
+					r := h.establishedRequest()
+					move(h, r)
+					h.loop.Cancel(&r.timer) // a slow test must not use up the time of the move
+				})
+				h.resumeReaders()
+				client.expectLines()
+				client.expectMove()
+			})
+		}
+	}
+}
+
+// A client that does not take the lines in time is moved ahead of them, so that a drain ends in time.
+func TestMoveDoesNotWaitForReader(t *testing.T) {
+	h := newHarness(t, 1, sendToFirst, enableChannels)
+	client, server := h.establishStreams(true, true)
+	h.stallReaders()
+	server.send(strings.Join(waitingLines, ""))
+	h.awaitProcessed(server)
+	h.onLoop(func() { h.establishedRequest().startMove(outcome.Cancelled, true) })
+	client.expectMove()
+}
+
+// Lines that wait in the proxy reach the other side before any end of the stream, in both directions and all pairs of
+// transports.
+func TestEndBehindWaitingLines(t *testing.T) {
+	graceful := map[string]func(s *lineStream){
+		"half-closes": (*lineStream).closeWrite,
+		"closes":      (*lineStream).close,
+		"disconnects": func(s *lineStream) {
+			if s.plain != nil {
+				s.close()
+				return
+			}
+			s.h.check(s.ch.Conn().Close())
+		},
+	}
+	for _, fromClient := range []bool{false, true} {
+		for name, end := range graceful {
+			for _, clientMux := range []bool{false, true} {
+				for _, serverMux := range []bool{false, true} {
+					title := fmt.Sprintf("%s, by client %v, channels %v, %v", name, fromClient, clientMux, serverMux)
+					t.Run(title, func(t *testing.T) {
+						h := newHarness(t, 1, sendToFirst, enableChannels)
+						client, server := h.establishStreams(clientMux, serverMux)
+						from, to := server, client
+						if fromClient {
+							from, to = client, server
+						}
+						h.stallReaders()
+						from.send(strings.Join(waitingLines, ""))
+						end(from)
+						h.awaitEndReceived(from, fromClient, name == "disconnects")
+						h.resumeReaders()
+						to.expectLines()
+						to.expectEnd(true)
+					})
+				}
+			}
+		}
+	}
+}
+
 // withhold establishes a request of a client with channels that does not grow its window, and has the server send more
 // than that window, so that some of it waits in the proxy for the client.
 func (h *harness) withhold() (client *lineStream) {
--- a/internal/proxy/move.go
+++ b/internal/proxy/move.go
@@ -4,15 +4,18 @@
 	"spurspread/decision"
 	"spurspread/decision/attemptoutcome"
 	"spurspread/decision/drainschedule"
+	"spurspread/decision/monotime"
 	"spurspread/decision/outcome"
 )
 
-// pendingMove is a move whose MOVE can't be sent yet. MOVE follows the bytes that the server sent before its own MOVE
-// and that still wait because the client reads slowly, and the end of the line in transmission.
+// pendingMove is a move whose MOVE can't be sent yet. MOVE follows the data that this process had received from the
+// server before the move and that waits because the client reads slowly, and then the end of the line in transmission.
 type pendingMove struct {
 	wanted   bool
-	byServer bool // the server asked for it, and startMove has not been called yet
-	unread   int  // bytes that the server sent before it asked for the move and that are not forwarded yet
+	byServer bool            // the server has asked for it, and startMove has not been called yet
+	unread   int             // bytes that were received before the move and are not forwarded yet
+	status   outcome.Status  // of the connection, when it is moved
+	abortAt  monotime.Micros // when the connection is reset if MOVE can't be sent; 0 for no limit
 }
 
 // waitsForLineEnd reports whether MOVE follows the end of the line in transmission.
@@ -39,31 +42,25 @@
 		r.startMove(outcome.Cancelled, false)
 		return
 	}
-	r.pendingMove.byServer = r.pendingMove.byServer || !r.pendingMove.wanted
-	r.pendingMove.wanted = true
-	r.pendingMove.unread = unread
-}
-
-// continueMove continues a pending move after bytes of the server were forwarded.
-func (r *request) continueMove(forwarded int) {
 	pending := &r.pendingMove
-	pending.unread = max(pending.unread-forwarded, 0)
-	switch {
-	case pending.unread > 0:
-	case pending.byServer:
-		*pending = pendingMove{}
-		r.startMove(outcome.Cancelled, false)
-	default:
-		r.move(outcome.Cancelled)
+	pending.unread = unread
+	if !pending.wanted {
+		pending.wanted = true
+		pending.byServer = true
+		pending.status = outcome.Cancelled
 	}
 }
 
 // startMove moves the client of an established connection, because its server drains, is gone or is unresponsive, or
 // because this balancer drains. status is the connection's outcome; sameServerAllowed tells whether the client may
-// continue at the same server. If the client takes tokens, the decision core chooses the next server first. startMove
-// does nothing if the request is not established or a move is already waiting for the end of a line.
+// continue at the same server. If the client takes tokens, the decision core chooses the next server first. If a move
+// is already pending, startMove only limits the time that it waits.
 func (r *request) startMove(status outcome.Status, sameServerAllowed bool) {
-	if r.state != stateEstablished || r.pendingMove.waitsForLineEnd() {
+	if r.state != stateEstablished {
+		return
+	}
+	if r.pendingMove.wanted {
+		r.limitMove()
 		return
 	}
 	if !r.resumable.canContinue() {
@@ -88,25 +85,73 @@
 	r.move(status)
 }
 
-// move sends MOVE to the client and ends the request with the outcome status. In the middle of a line it waits until
-// the line is complete, and the outcome is then outcome.Cancelled. It waits for at most drainschedule.MoveLineTimeout,
-// after which the connection is reset.
+// move sends MOVE to the client and ends the request with the outcome status, at once or, as pendingMove describes,
+// behind what comes first. If it had to wait for the end of a line, the outcome is outcome.Cancelled.
 func (r *request) move(status outcome.Status) {
 	if r.state != stateEstablished {
 		return
 	}
-	if r.fromServer.AtLineStart() {
-		r.proxy.stats.moved++
-		r.downstream.sendMove(r.appendToken(nil))
-		r.finish(status)
+	pending := &r.pendingMove
+	if !pending.wanted {
+		pending.unread = r.attempt.upstream.Buffered()
+	}
+	pending.wanted = true
+	pending.byServer = false
+	pending.status = status
+	if pending.unread == 0 {
+		if r.fromServer.AtLineStart() {
+			r.sendMove()
+			return
+		}
+		pending.status = outcome.Cancelled
+	}
+	r.limitMove()
+}
+
+// limitMove limits the time that the pending move waits: after drainschedule.MoveDataTimeout MOVE is sent ahead of the
+// data that the client has not taken, and after drainschedule.MoveLineTimeout the connection is reset, as MOVE can't be
+// sent in the middle of a line.
+func (r *request) limitMove() {
+	pending := &r.pendingMove
+	now := r.proxy.loop.Now()
+	if pending.abortAt == 0 {
+		pending.abortAt = now + drainschedule.MoveLineTimeout
+	}
+	left := pending.abortAt - now
+	if pending.unread > 0 {
+		r.startTimer(left-(drainschedule.MoveLineTimeout-drainschedule.MoveDataTimeout), r.skipWaitingData)
 		return
 	}
-	if !r.pendingMove.waitsForLineEnd() {
-		r.pendingMove = pendingMove{wanted: true}
-		r.startTimer(drainschedule.MoveLineTimeout, r.abort)
+	r.startTimer(left, r.abort)
+}
+
+// skipWaitingData continues a pending move ahead of the data that the client has not taken in time.
+func (r *request) skipWaitingData() {
+	r.pendingMove.unread = 0
+	r.move(r.pendingMove.status)
+}
+
+// continueMove continues the pending move after bytes of the server were forwarded.
+func (r *request) continueMove(forwarded int) {
+	pending := &r.pendingMove
+	pending.unread = max(pending.unread-forwarded, 0)
+	switch {
+	case pending.unread > 0:
+	case pending.byServer:
+		*pending = pendingMove{status: pending.status, abortAt: pending.abortAt}
+		r.startMove(pending.status, false)
+	default:
+		r.move(pending.status)
 	}
 }
 
+// sendMove sends MOVE and ends the request with the pending move's outcome.
+func (r *request) sendMove() {
+	r.proxy.stats.moved++
+	r.downstream.sendMove(r.appendToken(nil))
+	r.finish(r.pendingMove.status)
+}
+
 // abort resets the client's connection, when no MOVE can be sent, and ends the request.
 func (r *request) abort() {
 	r.downstream.Reset()
