A client that ends its side during a move gets all that its server still sends

A move waits for the end of a line, the client ends its sending side, and of what the server then sends only the first line of each read reaches the client.

Cause: forwardToClient cuts each read after its first line while a move waits, since MOVE follows there; after the half-close no MOVE follows, but the cutting went on.

Change: handleClientClosed drops the pending move.

Measured: TestHalfCloseDuringMove failed before (the middle of a line in place of "update 0"), passes now.

--- a/internal/proxy/end_order_test.go
+++ b/internal/proxy/end_order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 
@@ -264,3 +265,25 @@
 		t.Errorf("disconnected with %q, want the reason that the balancer stops", conn.DisconnectReason)
 	}
 }
+
+// After a client had ended its side while a move waited for the end of a line, only the first line of each read of the
+// server's data was passed on (incident 019).
+func TestHalfCloseDuringMove(t *testing.T) {
+	h := newHarness(t, 1, sendToFirst, nil)
+	client, server := h.establish()
+	server.send("begun")
+	read := make([]byte, len("begun"))
+	_, err := io.ReadFull(client.rd, read)
+	h.check(err)
+	h.onLoop(func() { h.onlyRequest().startMove(outcome.Cancelled, true) })
+	h.check(client.CloseWrite())
+	server.expectEnd(true)
+	server.send(" line\r\n" + strings.Join(waitingLines, "") + "BYE\r\n")
+	h.check(server.Close())
+	client.expect(" line\r\n")
+	for _, line := range waitingLines {
+		client.expect(line)
+	}
+	client.expect("BYE\r\n")
+	client.expectEnd(true)
+}
--- a/internal/proxy/established.go
+++ b/internal/proxy/established.go
@@ -138,6 +138,7 @@
 		return
 	}
 	r.transition(stateHalfClosed)
+	r.pendingMove = pendingMove{} // the client gets no MOVE any more, but all that the server still sends
 	r.notifyCancelled()
 	if graceful {
 		// The server may still send data.
