A client that still reads keeps the end of its stream

Cause: Linger limited the client that has everything and does not close, and equally the one that is still reading.

Change: when the time is up, a client that has read part of what waits is given it again (timeouts.KeepsLingering); others are closed as before. Stops and evictions keep their limits.

--- a/decision/timeouts/timeouts.go
+++ b/decision/timeouts/timeouts.go
@@ -16,7 +16,7 @@
 	// HealthCheckIdleTimeout is the time without a further PING after which a health checker's connection is closed.
 	HealthCheckIdleTimeout = 60 * monotime.Second
 	// Linger is the time in which a client must read its final answer and close, before the proxy closes the
-	// connection.
+	// connection; see KeepsLingering.
 	Linger = 800 * monotime.Millisecond
 	// MaxReattach is the longest time that a client waits for the server that it names to be listed and to answer.
 	MaxReattach = 40 * monotime.Second
@@ -51,6 +51,11 @@
 	muxSetupConnects = 3
 )
 
+// KeepsLingering reports whether a client that has not read all within Linger is given the same time again: it has read
+// part of it. before and pending are the numbers of bytes that were pending for it at the start and at the end of that
+// time.
+func KeepsLingering(before, pending int) bool { return pending > 0 && pending < before }
+
 // Request returns the time that a client waits for the answer to its request: the time that it announces, but no longer
 // than its class's deadline.
 func Request(announced, classDeadline monotime.Micros) monotime.Micros {
--- a/internal/proxy/downstream.go
+++ b/internal/proxy/downstream.go
@@ -53,6 +53,7 @@
 	request        *request
 	mux            *muxDownstreamConn // not nil once the connection is multiplexed
 	lingering      bool               // closed gracefully, but not yet closed by the client
+	linger         *linger            // closes the connection if the client does not
 	closed         bool
 	discardedBytes int  // bytes that arrived while lingering
 	clientClosed   bool // the client has closed its sending side
@@ -252,6 +253,7 @@
 	}
 	c.proxy.listener.idle.remove(c)
 	c.proxy.loop.Cancel(&c.timer)
+	c.linger.stop()
 	c.conn.Close()
 	c.firstLine = nil
 	c.request = nil
@@ -290,8 +292,9 @@
 	c.conn.Write([]byte("MOVE "), token, []byte("\r\n"))
 }
 
-// closeGracefully closes the sending side and gives the client timeouts.Linger to close its own. Closing a socket with
-// unread data would send a reset, which could make the client lose the last line.
+// closeGracefully closes the sending side and gives the client timeouts.Linger to close its own, and again while it
+// reads what is pending. Closing a socket with unread data would send a reset, which could make the client lose the
+// last line.
 func (c *downstreamConn) closeGracefully() {
 	if c.closed || c.lingering {
 		return
@@ -304,7 +307,8 @@
 	c.proxy.listener.lingering++
 	c.proxy.listener.idle.add(c)
 	c.conn.CloseWrite()
-	c.startTimer(timeouts.Linger, c.close)
+	c.proxy.loop.Cancel(&c.timer)
+	c.linger = startLinger(c.proxy.loop, c.conn.Pending, c.close)
 	if c.clientClosed && c.conn.Pending() == 0 {
 		c.close()
 	}
--- a/internal/proxy/downstream_mux.go
+++ b/internal/proxy/downstream_mux.go
@@ -9,7 +9,6 @@
 	"spurspread/decision/keepalive"
 	"spurspread/decision/monotime"
 	"spurspread/decision/overload"
-	"spurspread/decision/timeouts"
 	"spurspread/internal/channel"
 	"spurspread/internal/eventloop"
 	"spurspread/internal/lineproto"
@@ -223,7 +222,7 @@
 	sendsMove bool   // closeGracefully sends MOVE
 	answered  bool   // the channel was rejected with the final answer, which ended it
 	released  bool
-	linger    eventloop.Ref // timer that closes the channel if the client does not read what is pending
+	linger    *linger // closes the channel if the client does not read what is pending
 }
 
 // release removes the channel from its connection's count, once nothing is left to send on it. A connection without
@@ -298,7 +297,8 @@
 }
 
 // closeGracefully ends the channel, after MOVE if sendMove was called. If data is pending, the client gets
-// timeouts.Linger to read it before the channel is closed; until then the connection stays in use.
+// timeouts.Linger to read it, and again while it reads, before the channel is closed; until then the connection stays
+// in use.
 func (k *downstreamChannel) closeGracefully() {
 	k.request = nil
 	if k.answered {
@@ -312,7 +312,7 @@
 	ch := k.Channel
 	ch.CloseAfterFlush(name, data, k.release)
 	if ch.Pending() > 0 {
-		k.linger = k.conn.conn.proxy.loop.After(timeouts.Linger, ch.Close)
+		k.linger = startLinger(k.conn.conn.proxy.loop, ch.Pending, ch.Close)
 	}
 }
 
--- a/internal/proxy/end_order_test.go
+++ b/internal/proxy/end_order_test.go
@@ -235,7 +235,7 @@
 				if k.conn.closed {
 					t.Error("connection closed while its last channel has lines and MOVE to send")
 				}
-				p.loop.Cancel(&k.linger) // a slow test must not use up the client's time
+				k.linger.stop() // a slow test must not use up the client's time
 			})
 			client.ch.WithholdCredit(false)
 			client.expectLines()
@@ -287,3 +287,67 @@
 	client.expect("BYE\r\n")
 	client.expectEnd(true)
 }
+
+// A client that was still reading when its time to read was up lost what was left (incident 020).
+func TestLingerWhileClientReads(t *testing.T) {
+	h := newHarness(t, 1, sendToFirst, enableChannels)
+	client := h.withhold()
+	h.onLoop(func() {
+		r := h.onlyRequest()
+		k := r.downstream.(*downstreamChannel)
+		r.startMove(outcome.Cancelled, true)
+		k.linger.stop()
+		k.linger.before++ // as if the client had read a byte since the start
+		k.linger.check()
+		k.linger.stop()
+	})
+	client.ch.WithholdCredit(false)
+	client.expectLines()
+	client.expectLines()
+	client.expectMove()
+}
+
+// A client that reads nothing in its time to read is closed.
+func TestLingerEnds(t *testing.T) {
+	h := newHarness(t, 1, sendToFirst, enableChannels)
+	client := h.withhold()
+	h.onLoop(func() {
+		r := h.onlyRequest()
+		k := r.downstream.(*downstreamChannel)
+		r.startMove(outcome.Cancelled, true)
+		k.linger.check()
+	})
+	if _, err := io.Copy(io.Discard, client.rd); err == nil {
+		t.Error("channel ended with EOF, want CLOSE without EOF")
+	}
+}
+
+// The same holds for a plain client: its last lines and BYE arrive however slowly it reads.
+func TestLingerOfPlainClient(t *testing.T) {
+	h := newHarness(t, 1, sendToFirst, nil)
+	client, server := h.establish()
+	line := strings.Join(waitingLines, "")
+	lines := 0
+	var c *downstreamConn
+	h.onLoop(func() { c = h.onlyRequest().downstream.(*downstreamConn) })
+	for pending := 0; pending == 0; lines++ { // until the kernel takes no more for the client
+		server.send(line)
+		h.onLoop(func() { pending = c.Pending() })
+	}
+	server.send("BYE\r\n")
+	h.check(server.Close())
+	for lingering := false; !lingering; {
+		h.onLoop(func() {
+			if lingering = c.lingering; lingering {
+				c.linger.stop()
+				c.linger.before++ // as if the client had read a byte since the start
+				c.linger.check()
+				c.linger.stop()
+			}
+		})
+	}
+	for range lines {
+		(&lineStream{h: h, plain: client}).expectLines()
+	}
+	client.expect("BYE\r\n")
+}
