A pending move has state of its own only while it waits

pendingMove made each established request 32 bytes larger; it is a pointer now, nil where no move waits, and the code asks for that in place of a flag. The timer of a move that the server asked for is cancelled when its wait is over, so that it can't fire without a pending move.

--- a/internal/proxy/established.go
+++ b/internal/proxy/established.go
@@ -25,7 +25,7 @@
 	lastReply     monotime.Micros   // arrival of the server's last line, LOAD included; at first the time of UP
 	endStatus     outcome.Status    // outcome if the server closes the connection now, derived from its last lines
 	clientStalled bool              // too much data is pending for the client, so the server is not read
-	pendingMove   pendingMove       // a move whose MOVE can't be sent yet
+	pendingMove   *pendingMove      // a move whose MOVE can't be sent yet; nil for none
 	partial       lineBuffer        // incomplete line from the server, if only complete ones are forwarded
 	resumable     *resumableStream  // not nil if the client takes tokens; set before the request is established
 	latency       *serverLatency    // message latency of the server
@@ -138,7 +138,7 @@
 		return
 	}
 	r.transition(stateHalfClosed)
-	r.pendingMove = pendingMove{} // the client gets no MOVE any more, but all that the server still sends
+	r.pendingMove = nil // the client gets no MOVE any more, but all that the server still sends
 	r.notifyCancelled()
 	if graceful {
 		// The server may still send data.
@@ -194,7 +194,7 @@
 // forwardToClient forwards the server's bytes and evaluates the lines among them. If a move waits for the end of the
 // current line, it forwards only the rest of that line, after which the client receives MOVE.
 func (r *request) forwardToClient(b []byte) {
-	received, movePending := len(b), r.pendingMove.wanted
+	received, movePending := len(b), r.pendingMove != nil
 	if r.buffersPartialLines() {
 		var movedByServer bool
 		if b, movedByServer = r.partial.completeLines(b); movedByServer {
@@ -209,7 +209,7 @@
 	if reported {
 		r.reportMetric(load)
 	}
-	if movePending {
+	if movePending && r.pendingMove != nil {
 		r.continueMove(received)
 	}
 }
--- a/internal/proxy/move.go
+++ b/internal/proxy/move.go
@@ -11,20 +11,19 @@
 // pendingMove is a move whose MOVE can't be sent yet. MOVE follows the data that this process had received from the
 // server before the move and that waits because the client reads slowly, and then the end of the line in transmission.
 type pendingMove struct {
-	wanted   bool
 	byServer bool            // the server has asked for it, and startMove has not been called yet
 	unread   int             // bytes that were received before the move and are not forwarded yet
 	status   outcome.Status  // of the connection, when it is moved
 	abortAt  monotime.Micros // when the connection is reset if MOVE can't be sent; 0 for no limit
 }
 
-// waitsForLineEnd reports whether MOVE follows the end of the line in transmission.
-func (m *pendingMove) waitsForLineEnd() bool { return m.wanted && m.unread == 0 }
+// waitsForLineEnd reports whether MOVE follows the end of the line in transmission. m is nil if no move is pending.
+func (m *pendingMove) waitsForLineEnd() bool { return m != nil && m.unread == 0 }
 
 // limitRead returns the part of a read buffer that the next read from the server may fill, so that a read ends where
-// the move is due.
+// the move is due. m is nil if no move is pending.
 func (m *pendingMove) limitRead(buffer []byte) []byte {
-	if m.unread > 0 {
+	if m != nil && m.unread > 0 {
 		return buffer[:min(len(buffer), m.unread)]
 	}
 	return buffer
@@ -42,13 +41,10 @@
 		r.startMove(outcome.Cancelled, false)
 		return
 	}
-	pending := &r.pendingMove
-	pending.unread = unread
-	if !pending.wanted {
-		pending.wanted = true
-		pending.byServer = true
-		pending.status = outcome.Cancelled
+	if r.pendingMove == nil {
+		r.pendingMove = &pendingMove{byServer: true, status: outcome.Cancelled}
 	}
+	r.pendingMove.unread = unread
 }
 
 // startMove moves the client of an established connection, because its server drains, is gone or is unresponsive, or
@@ -59,7 +55,7 @@
 	if r.state != stateEstablished {
 		return
 	}
-	if r.pendingMove.wanted {
+	if r.pendingMove != nil {
 		r.limitMove()
 		return
 	}
@@ -91,28 +87,35 @@
 	if r.state != stateEstablished {
 		return
 	}
-	pending := &r.pendingMove
-	if !pending.wanted {
-		pending.unread = r.attempt.upstream.Buffered()
-	}
-	pending.wanted = true
-	pending.byServer = false
-	pending.status = status
-	if pending.unread == 0 {
-		if r.fromServer.AtLineStart() {
-			r.sendMove()
-			return
-		}
-		pending.status = outcome.Cancelled
+	unread := r.unreadBeforeMove()
+	if unread == 0 && r.fromServer.AtLineStart() {
+		r.sendMove(status)
+		return
+	}
+	if unread == 0 {
+		status = outcome.Cancelled
 	}
+	if r.pendingMove == nil {
+		r.pendingMove = &pendingMove{unread: unread}
+	}
+	r.pendingMove.byServer = false
+	r.pendingMove.status = status
 	r.limitMove()
 }
 
+// unreadBeforeMove returns the number of bytes of the server that MOVE has to follow and that are not forwarded yet.
+func (r *request) unreadBeforeMove() int {
+	if r.pendingMove != nil {
+		return r.pendingMove.unread
+	}
+	return r.attempt.upstream.Buffered()
+}
+
 // limitMove limits the time that the pending move waits: after drainschedule.MoveDataTimeout MOVE is sent ahead of the
 // data that the client has not taken, and after drainschedule.MoveLineTimeout the connection is reset, as MOVE can't be
 // sent in the middle of a line.
 func (r *request) limitMove() {
-	pending := &r.pendingMove
+	pending := r.pendingMove
 	now := r.proxy.loop.Now()
 	if pending.abortAt == 0 {
 		pending.abortAt = now + drainschedule.MoveLineTimeout
@@ -133,23 +136,24 @@
 
 // continueMove continues the pending move after bytes of the server were forwarded.
 func (r *request) continueMove(forwarded int) {
-	pending := &r.pendingMove
+	pending := r.pendingMove
 	pending.unread = max(pending.unread-forwarded, 0)
 	switch {
 	case pending.unread > 0:
 	case pending.byServer:
-		*pending = pendingMove{status: pending.status, abortAt: pending.abortAt}
+		r.pendingMove = nil
+		r.proxy.loop.Cancel(&r.timer)
 		r.startMove(pending.status, false)
 	default:
 		r.move(pending.status)
 	}
 }
 
-// sendMove sends MOVE and ends the request with the pending move's outcome.
-func (r *request) sendMove() {
+// sendMove sends MOVE and ends the request with the outcome status.
+func (r *request) sendMove(status outcome.Status) {
 	r.proxy.stats.moved++
 	r.downstream.sendMove(r.appendToken(nil))
-	r.finish(r.pendingMove.status)
+	r.finish(status)
 }
 
 // abort resets the client's connection, when no MOVE can be sent, and ends the request.
--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -74,7 +74,7 @@
 		AtLineBoundary:  r.fromClient.AtLineStart() && r.fromServer.AtLineStart(),
 		OwnsSockets:     dedicated,
 		NothingBuffered: r.nothingBuffered(),
-		PinnedToProcess: r.pendingMove.wanted || r.resumable != nil,
+		PinnedToProcess: r.pendingMove != nil || r.resumable != nil,
 	}) {
 		return false
 	}
