One server's impossible loads no longer have all clients refused

One of nine servers reports loads of 1,000 cores and more for its connections (LOAD): 15 or 16 of 100 clients are served, at whatever server.

Cause: any reported load entered the mean load of a connection, by which groups are charged at every server.

--- a/decision/load.go
+++ b/decision/load.go
@@ -37,13 +37,17 @@
 // proportion to the loads that are known.
 func (b *Balancer) LimitedHints() int { return b.limitedHints }
 
-// onLoadMetric replaces the load that a connection is charged with by the measured load.
+// onLoadMetric replaces the load that a connection is charged with by the measured load, which is at most the size of
+// its server.
 func (b *Balancer) onLoadMetric(ev ConnectionMetric) {
 	r := b.requests[ev.ID]
 	if r == nil || r.chargedTo == nil {
 		return
 	}
 	measured := ev.Value / microCoresPerCore
+	if b.settings.ReportsConnectionLoad {
+		measured = min(measured, r.chargedTo.load.Size)
+	}
 	r.chargedTo.load.OwnLoad += measured - r.load
 	r.load = measured
 	b.loadModel.Observe(r.load)
--- a/decision/load_hint_test.go
+++ b/decision/load_hint_test.go
@@ -53,6 +53,34 @@
 	return served, g.b.loadModel.MeanLoad()
 }
 
+// A server that reports impossible loads is avoided, and what clients get at the other servers stays as it is.
+func TestImpossibleReportedLoads(t *testing.T) {
+	const lying = 1
+	for _, reported := range []float64{1e9, 1e12, math.MaxFloat64} {
+		g := newHarness(t, loadReportingSettings(), twoCoreServers(9))
+		served := 0
+		for client := range hintClients / 2 { // fewer than eight honest servers can carry
+			g.next++
+			actions := g.handle(Request{ID: g.next, TimeLeft: 2 * sec, Group: uint64(1 + client%12)})
+			for _, a := range append(actionsOf[StartAttempt](actions), actionsOf[StartAttempt](g.advance(100*ms))...) {
+				load := float64(measuredLoad)
+				if a.Server == lying {
+					load = reported
+				}
+				served++
+				g.handle(Established{ID: a.ID, Server: a.Server, SetupTime: 10 * ms})
+				g.handle(ConnectionMetric{ID: a.ID, Server: a.Server, Kind: LoadMetric, Value: load})
+			}
+		}
+		if served < hintClients/2 {
+			t.Errorf("reported %g: %d of %d clients served", reported, served, hintClients/2)
+		}
+		if mean := g.b.loadModel.MeanLoad(); mean > 2*measuredLoad/microCoresPerCore {
+			t.Errorf("reported %g: mean load %v, want at most twice that of the honest servers", reported, mean)
+		}
+	}
+}
+
 // A client's guess at its load shut all other clients out (incident 021). With false hints of any size the others are
 // served as without those clients where there is room for all, and as with true hints where there is not, since all
 // clients use the same load.
--- a/decision/serverload/model.go
+++ b/decision/serverload/model.go
@@ -15,6 +15,9 @@
 	// hintCutoff is the number of measured loads from which on hints don't count in the mean: they are guesses of
 	// clients, which may be wrong by any factor.
 	hintCutoff = 20
+	// maxMeasuredRatio is the largest measured load that the mean takes from one connection, as a multiple of the mean,
+	// once hintCutoff loads are measured. A server that reports wrong loads must not decide what all others are charged.
+	maxMeasuredRatio = 8.0
 	// maxHintRatio is the largest load that a hint may claim, as a multiple of the mean load that is known.
 	maxHintRatio = 4.0
 	// maxHintShare is the largest load that a hint may claim, as a fraction of the largest server.
@@ -40,6 +43,9 @@
 
 // Observe adds the measured load of one connection, in cores, to the mean.
 func (m *LoadModel) Observe(load float64) {
+	if m.measuredCount >= hintCutoff {
+		load = min(load, maxMeasuredRatio*max(m.measuredMean, minLoad))
+	}
 	m.measuredCount = min(m.measuredCount+1, meanLoadWindow)
 	m.measuredMean += (load - m.measuredMean) / (m.measuredCount + meanLoadPrior)
 	m.updateMean()
