--- a/decision/serverload/model.go
+++ b/decision/serverload/model.go
@@ -16,7 +16,7 @@
 	// clients, which may be wrong by any factor.
 	hintCutoff = 20
 	// maxMeasuredRatio is the largest measured load that the mean takes from one connection, as a multiple of the mean,
-	// once hintCutoff loads are measured. A server that reports wrong loads must not decide what all others are charged.
+	// once hintCutoff loads are measured. A server that reports wrong loads must not decide what others are charged.
 	maxMeasuredRatio = 8.0
 	// maxHintRatio is the largest load that a hint may claim, as a multiple of the mean load that is known.
 	maxHintRatio = 4.0
--- a/internal/proxy/end_order_test.go
+++ b/internal/proxy/end_order_test.go
@@ -288,18 +288,25 @@
 	client.expectEnd(true)
 }
 
+// moveLingering moves the only request, a channel's with lines waiting for the client, and returns the linger that
+// follows. It must be called on the loop.
+func (h *harness) moveLingering() *linger {
+	r := h.onlyRequest()
+	k := r.downstream.(*downstreamChannel)
+	r.startMove(outcome.Cancelled, true)
+	return k.linger
+}
+
 // A client that was still reading when its time to read was up lost what was left (incident 020).
 func TestLingerWhileClientReads(t *testing.T) {
 	h := newHarness(t, 1, sendToFirst, enableChannels)
 	client := h.withhold()
 	h.onLoop(func() {
-		r := h.onlyRequest()
-		k := r.downstream.(*downstreamChannel)
-		r.startMove(outcome.Cancelled, true)
-		k.linger.stop()
-		k.linger.before++ // as if the client had read a byte since the start
-		k.linger.check()
-		k.linger.stop()
+		l := h.moveLingering()
+		l.stop()
+		l.before++ // as if the client had read a byte since the start
+		l.check()
+		l.stop()
 	})
 	client.ch.WithholdCredit(false)
 	client.expectLines()
@@ -311,12 +318,7 @@
 func TestLingerEnds(t *testing.T) {
 	h := newHarness(t, 1, sendToFirst, enableChannels)
 	client := h.withhold()
-	h.onLoop(func() {
-		r := h.onlyRequest()
-		k := r.downstream.(*downstreamChannel)
-		r.startMove(outcome.Cancelled, true)
-		k.linger.check()
-	})
+	h.onLoop(func() { h.moveLingering().check() })
 	if _, err := io.Copy(io.Discard, client.rd); err == nil {
 		t.Error("channel ended with EOF, want CLOSE without EOF")
 	}
