A channel that its client closed first is released when its server ends

Seen: TestAnyOrder, now also asking that each end of a channel is reported once. A channel stayed counted as unfinished for good where the client had closed it before its server ended, so that its connection was never unused.

Cause: CloseAfterFlush reports when CLOSE is sent, and here it was out already.

Change: it reports at once then. TestAnyOrder also asks that move requests and EOF come behind all data written before; a side that has itself closed the channel discards what comes, and is not asked.

--- a/internal/mux/mux_test.go
+++ b/internal/mux/mux_test.go
@@ -72,6 +72,10 @@
 	end       error
 	requests  []string
 	flushed   int
+	moveAt    []int // bytes received before each move request, those that are not read yet included
+	left      bool  // this side has closed the channel and discards what it receives
+	ended     bool  // finish was called
+	closed    int   // number of reports that CLOSE is sent
 }
 
 func (s *stream) Confirmed(data []byte)             { s.confirmed = "yes " + string(data) }
@@ -79,6 +83,7 @@
 func (s *stream) Flushed()                          { s.flushed++ }
 func (s *stream) Requested(name, data []byte) bool {
 	s.requests = append(s.requests, string(name)+" "+string(data))
+	s.moveAt = append(s.moveAt, len(s.got)+s.ch.Buffered())
 	return string(name) == channel.Move
 }
 
@@ -94,6 +99,12 @@
 	}
 }
 
+// finish closes the channel after a move request behind all data that was written.
+func (s *stream) finish() {
+	s.ended, s.left = true, true
+	s.ch.CloseAfterFlush(channel.Move, nil, func() { s.closed++ })
+}
+
 func (s *stream) write(b []byte) {
 	s.sent = append(s.sent, b...)
 	s.ch.Write(b)
@@ -552,7 +563,8 @@
 }
 
 // Whatever the order of events, the data written on a channel arrives completely and in order as far as the other side
-// reads it, and nothing is left of channels and budget once all channels are closed.
+// reads it, move requests and EOF arrive behind all of it, the end of a channel is reported once, and nothing is left
+// of channels and budget once all channels are closed.
 func TestAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &randomRun{}
@@ -572,6 +584,11 @@
 			s.ch.Close()
 		}
 		exchange(t, m.client, m.server)
+		for _, s := range m.all() {
+			if s.ended && s.closed != 1 {
+				t.Fatalf("%s: the end of a channel is reported %d times, want once", s.e.name, s.closed)
+			}
+		}
 		for _, e := range []*side{m.client, m.server} {
 			if p := e.c.cfg.Budget.Committed(); p != 0 || e.c.Len() != 0 {
 				t.Fatalf("%s: %d bytes committed, %d channels left, want none", e.name, p, e.c.Len())
@@ -612,11 +629,15 @@
 		"end": func(t *rapid.T) {
 			s := m.pick(t, m.all())
 			if s.ch.state == established && s.ch.owner != nil {
-				s.ch.CloseAfterFlush("", nil, nil)
+				s.finish()
 			}
 		},
-		"close": func(t *rapid.T) { m.pick(t, m.all()).ch.Close() },
-		"ping":  func(t *rapid.T) { m.client.c.Ping() },
+		"close": func(t *rapid.T) {
+			s := m.pick(t, m.all())
+			s.left = true
+			s.ch.Close()
+		},
+		"ping": func(t *rapid.T) { m.client.c.Ping() },
 		"": func(t *rapid.T) {
 			for _, e := range []*side{m.client, m.server} {
 				if e.c.cfg.Budget.Committed() < 0 {
@@ -649,6 +670,14 @@
 		t.Fatalf("%s sent %d bytes, and the %d bytes received are not their beginning",
 			from.e.name, len(from.sent), len(to.got))
 	}
+	if errors.Is(to.end, io.EOF) && !to.left && len(from.sent) != len(to.got) {
+		t.Fatalf("%s sent %d bytes, EOF came after %d", from.e.name, len(from.sent), len(to.got))
+	}
+	for _, at := range to.moveAt {
+		if at != len(from.sent) {
+			t.Fatalf("%s sent %d bytes, a move request came after %d", from.e.name, len(from.sent), at)
+		}
+	}
 	open := established && from.ch.owner != nil && to.ch.owner != nil && !from.ch.sentClose && !to.ch.sentClose
 	if open && len(from.sent) != len(to.got) {
 		t.Fatalf("%s sent %d bytes, %d received: a window was not restored", from.e.name, len(from.sent), len(to.got))
--- a/internal/mux/send.go
+++ b/internal/mux/send.go
@@ -137,8 +137,8 @@
 
 // CloseAfterFlush closes an established channel in order, with EOF and CLOSE, once the buffer is sent. If name is not
 // empty, a request with this name and data is sent before EOF. The owner is not notified any more. onClosed is called,
-// once, as soon as CLOSE is sent, possibly by CloseAfterFlush itself, or the connection is lost; until then something
-// that the peer has to receive may still wait for its window.
+// once, as soon as CLOSE is sent, or by CloseAfterFlush itself if it was sent already, or when the connection is lost;
+// until then something that the peer has to receive may still wait for its window.
 func (ch *Channel) CloseAfterFlush(name string, data []byte, onClosed func()) {
 	ch.onClosed = onClosed
 	ch.eofRequested, ch.closeAfterEOF, ch.owner = true, true, nil
@@ -147,6 +147,9 @@
 	if ch.peerClose && ch.conn.stage != finished && !ch.sentClose {
 		ch.sendClose() // the peer has closed the channel and does not read pending data
 	}
+	if ch.sentClose {
+		ch.notifyClosed()
+	}
 }
 
 // Close closes the channel at once, without EOF, and discards buffered data; a channel of the peer that is not
--- a/internal/proxy/end_order_test.go
+++ b/internal/proxy/end_order_test.go
@@ -249,6 +249,25 @@
 	}
 }
 
+// A channel that its client has closed, and whose server ends later, does not keep its connection in use.
+func TestClosedChannelReleasesConnection(t *testing.T) {
+	h := newHarness(t, 1, sendToFirst, enableChannels)
+	client, server := h.establishStreams(true, true)
+	client.close()
+	server.expectEnd(true)
+	server.close()
+	for requests := 1; requests > 0; {
+		h.onLoop(func() { requests = h.proxy.requests.len() })
+	}
+	h.onLoop(func() {
+		for m := range h.proxy.listener.muxConns {
+			if m.unfinished != 0 {
+				t.Errorf("%d unfinished channels, want none", m.unfinished)
+			}
+		}
+	})
+}
+
 // A client that does not read until the stop's time is up still gets DISCONNECT, and does not hold the process.
 func TestStopDoesNotWaitForReader(t *testing.T) {
 	h := newHarness(t, 1, sendToFirst, enableChannels)
