--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -44,9 +44,8 @@
 	retryTokens    float64 // the retry budget: retries that may be started now
 
 	loadModel       serverload.LoadModel
-	meanHint        float64 // moving average of the load hints, as far as they were plausible, in cores
+	meanHint        float64 // moving average of Request.LoadHint, in microseconds of work per second
 	hintCount       float64 // load hints received
-	limitedHints    int     // load hints that were taken for less than they claimed
 	meanChargedWork float64 // mean of the relativeWork that connections are charged with in slow start, at least 1
 
 	probesUnderWay int
--- a/decision/digest_test.go
+++ b/decision/digest_test.go
@@ -18,12 +18,12 @@
 // change of decisions, bit for bit. A change that is not meant to affect decisions must leave them as they are. Any
 // other change updates them in a commit of its own that says so; the failing test prints the new digests.
 var wantDigests = []string{
-	"618604fda9a5eafa", "75ee8c778c104e91", "ba6ab11846903e9f", "6a6277889d4d0aab",
-	"ef6f6162fdc09fc2", "a46b32f8407b7bbb", "18a24383bfa60fe3", "d5712de12c1b96f0",
-	"5307e2e31c0e6c04", "bd7614c933ddd7df", "4bfcdd49c5cc0658", "09af5e05b0fb649b",
-	"d1d8e5075053138f", "92959da370e655fc", "d195623076d2906a", "454913b5f89c7890",
-	"05459825e4df2b9c", "2faacb305b9ac9e6", "92d21d653e3b331d", "f8968a24d7f20775",
-	"396d9613f87e19bc", "cb5c861a93e50bad", "2f7ad1a33231a9bc", "99abeb537ee9f1d5",
+	"f7b225ee8cfed51d", "90b94e5905452d5c", "ba6ab11846903e9f", "b7435edfdce1108f",
+	"ef6f6162fdc09fc2", "c3b4d212bec5cb39", "335c8bf4ad0a69f6", "c40841f5542f726e",
+	"dbaddea6bf2e16c4", "2a6dbe2939d63f4b", "4bfcdd49c5cc0658", "09af5e05b0fb649b",
+	"57f16f223b7a6f26", "d180e95685675822", "d195623076d2906a", "35c558420568d538",
+	"05459825e4df2b9c", "5dd37fa476ab7577", "3cfa95f83b1290b3", "dcb353e8b3dc8246",
+	"199f6ad9fcffe0d3", "c85dfa2ca3b1ac76", "2f7ad1a33231a9bc", "99abeb537ee9f1d5",
 }
 
 const digestSteps = 8000
--- a/decision/load.go
+++ b/decision/load.go
@@ -12,42 +12,29 @@
 	hintWindow = 500
 )
 
-// estimateLoad sets the expected load of a new request's connection: its load hint, as far as it is plausible, or the
-// mean load of a connection if there is none. A hint also sets the request's relativeWork and is added to the moving
-// averages.
+// estimateLoad sets the expected load of a new request's connection: its load hint, or the mean load of a connection if
+// there is none. A hint also sets the request's relativeWork and is added to the moving averages.
 func (b *Balancer) estimateLoad(r *request, ev *Request) {
 	if !ev.HasLoadHint || ev.LoadHint <= 0 {
 		r.load = b.loadModel.MeanLoad()
 		return
 	}
-	claimed := ev.LoadHint / microCoresPerCore
-	r.load = b.loadModel.LimitHint(claimed)
-	if r.load < claimed {
-		b.limitedHints++
-	}
 	b.hintCount++
 	window := min(b.hintCount, hintWindow)
-	b.meanHint += (r.load - b.meanHint) / window
-	r.relativeWork = r.load / b.meanHint
+	b.meanHint += (ev.LoadHint - b.meanHint) / window
+	r.relativeWork = ev.LoadHint / b.meanHint
 	b.meanChargedWork += (max(r.relativeWork, 1) - b.meanChargedWork) / window
+	r.load = ev.LoadHint / microCoresPerCore
 	b.loadModel.ObserveHint(r.load)
 }
 
-// LimitedHints returns the number of load hints that were taken for less than they claimed, because they were out of
-// proportion to the loads that are known.
-func (b *Balancer) LimitedHints() int { return b.limitedHints }
-
-// onLoadMetric replaces the load that a connection is charged with by the measured load, which is at most the size of
-// its server.
+// onLoadMetric replaces the load that a connection is charged with by the measured load.
 func (b *Balancer) onLoadMetric(ev ConnectionMetric) {
 	r := b.requests[ev.ID]
 	if r == nil || r.chargedTo == nil {
 		return
 	}
 	measured := ev.Value / microCoresPerCore
-	if b.settings.ReportsConnectionLoad {
-		measured = min(measured, r.chargedTo.load.Size)
-	}
 	r.chargedTo.load.OwnLoad += measured - r.load
 	r.load = measured
 	b.loadModel.Observe(r.load)
--- a/internal/logging/fields.go
+++ b/internal/logging/fields.go
@@ -44,7 +44,6 @@
 	Moved          = "moved"           // clients to which MOVE was sent
 	Unresponsive   = "unresponsive"    // connections closed because the server did not reply in time
 	ProtocolErrors = "protocol_errors" // replies of servers, and multiplexed connections, that violated the protocol
-	LimitedHints   = "limited_hints"   // load hints of clients that were taken for less than they claimed
 	Evicted        = "evicted"         // idle connections closed because file descriptors ran short
 	TransferredOut = "transferred_out" // connections transferred to the successor in a hot restart
 	TransferredIn  = "transferred_in"  // connections taken over from the previous process in a hot restart
--- a/internal/proxy/dispatcher.go
+++ b/internal/proxy/dispatcher.go
@@ -5,12 +5,10 @@
 	"spurspread/internal/eventloop"
 )
 
-// decisionCore is the interface of the decision core; tests replace it.
+// decisionCore is the interface of the decision core; tests replace it. Handle handles an event and returns out with
+// the resulting actions appended.
 type decisionCore interface {
-	// Handle handles an event and returns out with the resulting actions appended.
 	Handle(now decision.Micros, ev decision.Event, out []decision.Action) []decision.Action
-	// LimitedHints returns the number of load hints of clients that were taken for less than they claimed.
-	LimitedHints() int
 }
 
 // dispatcher passes events to the decision core and applies the resulting actions. An action may cause further events;
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -56,14 +56,6 @@
 	return out
 }
 
-// LimitedHints is part of decisionCore.
-func (h *harness) LimitedHints() int {
-	if h.core != nil {
-		return h.core.LimitedHints()
-	}
-	return 0
-}
-
 // newHarness starts a proxy whose cached server list has n servers: s0, s1 and so on. decide makes the decisions; nil
 // decides nothing. change, if not nil, may alter the configuration.
 func newHarness(t *testing.T, n int, decide func(decision.Event) []decision.Action, change func(*Config)) *harness {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -64,7 +64,6 @@
 	stats      counters
 
 	clientFaults clientFaultLog
-	limitedHints limitedHintsLog
 	fleet        fleetPosition
 }
 
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -122,7 +122,6 @@
 	// The core normally answers earlier; the timer guarantees an answer if it ever doesn't.
 	r.startTimer(left, r.decisionTimedOut)
 	p.core.dispatch(r.decisionRequest())
-	p.logLimitedHints()
 }
 
 // announcedDeadline returns the time that the client waits for its answer, counted from now, as its OPEN line states
--- a/internal/proxy/stats.go
+++ b/internal/proxy/stats.go
@@ -43,7 +43,6 @@
 		logging.Evicted:        p.stats.evicted,
 		logging.TransferredIn:  p.stats.transferredIn,
 	}
-	fields[logging.LimitedHints] = p.core.core.LimitedHints()
 	p.stats.unserved.addTo(fields)
 	p.servers.addStats(fields)
 	p.resumption.addStats(fields)
--- a/internal/proxy/unserved_test.go
+++ b/internal/proxy/unserved_test.go
@@ -53,17 +53,3 @@
 		t.Errorf("no counters for class %q, want the classes beyond the limit counted there", otherClass)
 	}
 }
-
-// A load hint that is out of proportion is counted and logged.
-func TestImplausibleLoadHintIsLogged(t *testing.T) {
-	h := newHarnessWithCore(t, 1, nil)
-	h.connect("OPEN 1 7 c=sync,d=60000,h=1000\r\n")
-	await[decision.Request](h)
-	h.connect("OPEN 2 7 c=sync,d=60000,h=1000000000\r\n")
-	await[decision.Request](h)
-	logged := 0
-	h.onLoop(func() { logged = h.proxy.limitedHints.logged })
-	if logged != 1 {
-		t.Errorf("%d limited load hints logged, want 1", logged)
-	}
-}
