--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 6 to 10 into bin/. It needs no network after the build of deploy/balancer.toml.
+# Builds the stand-ins of the cases 6 to 10 into review/bin. The tag keeps them out of ./..., of CI and of the default test
+# run. After the build of deploy/balancer.toml it needs no network.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mkdir -p bin
-go build -o bin/review-standin-2 ./review/standin2
+mkdir -p review/bin
+exec go build -tags review -o review/bin/ ./review/standin2
--- a/review/standin2/case_crowd.go
+++ b/review/standin2/case_crowd.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command standin2 plays the cases 6 to 10 of the review. It starts the balancer as a process of its own, by the run
 // line of the deploy file, and plays clients, servers and discovery on loopback addresses.
 //
