A stop no longer hangs while clients keep connecting

Cause: DrainAndClose accepted until the queue was empty, within one event of the loop. Clients that connect as fast as it accepts keep the queue full: SIGQUIT in the hang shows the loop's goroutine there, ss shows 4,095 waiting.

Change: a listener is drained over turns of the loop, 64 connections each, and closed after as many as the queue can hold or when it is empty; the stop waits for that and completes it when its time is up. The check at the end of a stop has its count and its end in functions.

--- a/internal/eventloop/drain_test.go
+++ b/internal/eventloop/drain_test.go
@@ -58,3 +58,60 @@
 		c.Close()
 	}
 }
+
+// floodedListener returns a loop and a listener for which another client connects and leaves as soon as one is
+// accepted, so that the accept queue is never empty, until limit clients have come. accepted counts the clients.
+func floodedListener(t *testing.T, limit int) (l *Loop, ln *Listener, accepted *int) {
+	t.Helper()
+	l, err := New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	accepted = new(int)
+	connect := func() {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = c.Close()
+	}
+	ln, err = l.ListenShared(netip.MustParseAddrPort("127.0.0.1:0"), func(func(Owner) (*Conn, error)) {
+		if *accepted++; *accepted < limit {
+			connect()
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	connect()
+	return l, ln, accepted
+}
+
+// Guards against a stop that hangs while clients come as fast as they are accepted: DrainAndClose returns after as many
+// as the queue can hold.
+func TestDrainAndCloseEndsWhileClientsCome(t *testing.T) {
+	const most = 4097 // connections that a queue can hold
+	l, ln, accepted := floodedListener(t, 2*most)
+	ln.DrainAndClose()
+	if *accepted > most || l.OpenSockets() != 0 {
+		t.Errorf("accepted %d, %d sockets open, want at most %d and none", *accepted, l.OpenSockets(), most)
+	}
+}
+
+// While a listener is drained, the loop handles other events, and then it is closed even if clients keep coming.
+func TestDrainLeavesTurnsToOthers(t *testing.T) {
+	l, ln, accepted := floodedListener(t, 2*maxQueued)
+	acceptedBefore := 0 // before another event was handled
+	ln.Drain(l.Stop)
+	l.Post(func() { acceptedBefore = *accepted })
+	if err := l.Run(); err != nil {
+		t.Fatal(err)
+	}
+	if acceptedBefore == 0 || acceptedBefore > 2*acceptsPerTurn {
+		t.Errorf("%d accepted before another event was handled, want 1 to %d", acceptedBefore, 2*acceptsPerTurn)
+	}
+	if *accepted != maxQueued || l.OpenSockets() != 0 {
+		t.Errorf("accepted %d, %d sockets open, want %d and none", *accepted, l.OpenSockets(), maxQueued)
+	}
+}
--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -17,11 +17,18 @@
 	ref         Ref
 	accept      func(adopt func(Owner) (*Conn, error))
 	resumeTimer Ref // set while accepting is paused
+
+	draining    bool
+	acceptsLeft int    // while draining: the number of connections that may still be accepted
+	onClosed    func() // called when the drain has closed the listener
 }
 
-// backlog is the maximum number of connections in the kernel's accept queue of a listener.
+// backlog limits the number of connections in the kernel's accept queue of a listener.
 const backlog = 4096
 
+// maxQueued is the maximum number of connections in the accept queue: the kernel admits one more than the backlog.
+const maxQueued = backlog + 1
+
 // acceptPause is the time for which a listener stops accepting after it has run out of descriptors.
 const acceptPause = 20 * monotime.Millisecond
 
@@ -96,7 +103,13 @@
 	return netip.AddrPort{}
 }
 
-func (ln *Listener) handleEvents(uint32) { ln.acceptSome(acceptsPerTurn) }
+func (ln *Listener) handleEvents(uint32) {
+	if ln.draining {
+		ln.drainSome(acceptsPerTurn)
+		return
+	}
+	ln.acceptSome(acceptsPerTurn)
+}
 
 // acceptSome accepts up to n connections. It reports whether the queue is empty, or can't be emptied because there are
 // no free descriptors.
@@ -126,13 +139,38 @@
 	return false
 }
 
-// DrainAndClose accepts all connections in the queue, or those for which there are descriptors, and closes the
-// listener. Just closing it would reset the queued connections. It is meant for a listener that shares its address with
+// Drain accepts the connections in the queue, or those for which there are descriptors, closes the listener and calls
+// closed. Just closing it would reset the queued connections. It accepts some connections in each turn of the loop,
+// starting at once, and as many as the queue can hold at most: all that wait now are accepted, and the listener is
+// closed even if others come faster than they are accepted. It is meant for a listener that shares its address with
 // another process, which gets all new connections.
+func (ln *Listener) Drain(closed func()) {
+	ln.startDrain(closed)
+	ln.drainSome(acceptsPerTurn)
+}
+
+// DrainAndClose is like Drain, but has closed the listener when it returns. It completes a Drain in progress.
 func (ln *Listener) DrainAndClose() {
-	for !ln.acceptSome(backlog) {
+	if !ln.draining {
+		ln.startDrain(func() {})
+	}
+	ln.drainSome(ln.acceptsLeft)
+}
+
+func (ln *Listener) startDrain(closed func()) {
+	ln.draining = true
+	ln.acceptsLeft = maxQueued
+	ln.onClosed = closed
+}
+
+// drainSome accepts up to n connections, and ends the drain if no more are to be accepted.
+func (ln *Listener) drainSome(n int) {
+	n = min(n, ln.acceptsLeft)
+	ln.acceptsLeft -= n
+	if empty := ln.acceptSome(n); empty || ln.acceptsLeft == 0 {
+		ln.Close()
+		ln.onClosed()
 	}
-	ln.Close()
 }
 
 // pause stops accepting for acceptPause.
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -192,12 +192,29 @@
 	if drainschedule.Finished(elapsed, d.duration, p.requests.len()+len(p.listener.muxConns)) {
 		p.listener.close()
 	}
-	waiting := p.listener.lingering + p.listener.idle.unanswered()
-	if drainschedule.Finished(elapsed, d.duration, p.requests.len()+len(p.listener.muxConns)+waiting) {
-		p.log.WithField(logging.Aborted, p.requests.len()).Info("drained")
-		p.listener.disconnectMux()
-		p.loop.Stop()
+	if drainschedule.Finished(elapsed, d.duration, d.remaining()) {
+		d.finish()
 		return
 	}
 	p.loop.After(drainschedule.CheckInterval, d.checkFinished)
 }
+
+// remaining returns the number of requests and connections for which the process still waits; the listener counts as
+// one while it is open.
+func (d *drain) remaining() int {
+	p := d.proxy
+	n := p.requests.len() + len(p.listener.muxConns) + p.listener.lingering + p.listener.idle.unanswered()
+	if !p.listener.closed {
+		n++
+	}
+	return n
+}
+
+// finish stops the loop.
+func (d *drain) finish() {
+	p := d.proxy
+	p.listener.closeNow()
+	p.log.WithField(logging.Aborted, p.requests.len()).Info("drained")
+	p.listener.disconnectMux()
+	p.loop.Stop()
+}
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -14,7 +14,8 @@
 type listener struct {
 	proxy     *Proxy
 	socket    *eventloop.Listener
-	closed    bool
+	closing   bool // close was called
+	closed    bool // the listening socket is closed
 	idle      idleConns
 	lingering int // number of connections with downstreamConn.lingering set
 	muxConns  map[*muxDownstreamConn]bool
@@ -81,14 +82,26 @@
 	}
 }
 
-// close accepts the connections in the accept queue, which would otherwise be reset, and stops listening. If the
-// process stops without a successor, it also closes idle connections. Later calls have no effect.
+// close stops listening once the connections in the accept queue, which would otherwise be reset, are accepted. If the
+// process stops without a successor, it then also closes idle connections. Later calls have no effect.
 func (l *listener) close() {
-	if l.closed {
+	if l.closing {
 		return
 	}
+	l.closing = true
+	l.socket.Drain(l.handleClosed)
+}
+
+// closeNow is like close, but has stopped listening when it returns.
+func (l *listener) closeNow() {
+	l.close()
+	if !l.closed {
+		l.socket.DrainAndClose()
+	}
+}
+
+func (l *listener) handleClosed() {
 	l.closed = true
-	l.socket.DrainAndClose()
 	if l.proxy.drain.stopping && !l.proxy.drain.handingOver {
 		l.closeIdle(l.proxy.drain.maxIdleAge())
 	}
