Discovery that sends without a pause no longer holds the event loop

A watch has no end, so data that comes as fast as it is read would keep all clients waiting.

Change: a call reads four times a turn, as client and server connections do, and goes on after the events of others.

Measured: TestWatchLeavesTurnsToOthers fails without the change (everything that had arrived was read in one event) and passes 50 times in a row with it. By reading; no deployment has shown it.

--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -78,9 +78,16 @@
 // Flushed is part of eventloop.Owner.
 func (c *call) Flushed(*eventloop.Conn) {}
 
+// readsPerTurn bounds the successive reads of one call. More is read after the events of other sockets, so that a
+// watch without a pause does not starve these.
+const readsPerTurn = 4
+
 // Readable is part of eventloop.Owner.
 func (c *call) Readable(conn *eventloop.Conn) {
-	for c.state != callClosed {
+	for range readsPerTurn {
+		if c.state == callClosed {
+			return
+		}
 		n, err := conn.Read(c.client.readBuffer)
 		switch {
 		case errors.Is(err, eventloop.ErrAgain):
@@ -95,6 +102,7 @@
 		c.client.lastByteAt = c.client.loop.Now()
 		c.receive(c.client.readBuffer[:n])
 	}
+	c.client.loop.After(0, func() { c.Readable(conn) })
 }
 
 // receive parses bytes of the response. Handling them may close the call.
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -278,6 +278,31 @@
 	}
 }
 
+// Guards against a balancer that hangs while discovery sends without a pause: a call reads a part of what has arrived,
+// and the rest after the events of other sockets.
+func TestWatchLeavesTurnsToOthers(t *testing.T) {
+	_, w, l, d, conn := startWatching(t)
+	left := make(chan bool)
+	l.Post(func() {
+		d.readBuffer = make([]byte, 16)
+		heartbeats := strings.Repeat(chunk(""), 200)
+		_, _ = conn.Write([]byte(heartbeats + chunk(`{"generation":43,"instances":[`+server2+`]}`)))
+		n, err := 0, eventloop.ErrAgain
+		for errors.Is(err, eventloop.ErrAgain) { // until it has arrived, in one segment
+			n, err = d.watch.conn.Read(d.readBuffer)
+		}
+		d.watch.receive(d.readBuffer[:n])
+		d.watch.Readable(d.watch.conn)
+		n, err = d.watch.conn.Read(d.readBuffer)
+		left <- err == nil
+		d.watch.receive(d.readBuffer[:n])
+	})
+	if !<-left {
+		t.Error("all that had arrived was read in one event, want a part of it")
+	}
+	w.want(t, "43 s2")
+}
+
 // After a silent watch has failed, a new watch that is silent too fails by its own timeout, and so does one that sends
 // heartbeats but no object.
 func TestNewWatchSilentToo(t *testing.T) {
