A read has its buffer to itself until its bytes are handled

Cause: all multiplexed connections shared one read buffer. A packet that opens a channel dials, the dial evicts an idle client, and the eviction reads that client into the same buffer, over packets that are not handled yet. Packets of a server that end an attempt do the same.

Change: each read of the proxy gets a buffer and puts it back when its bytes are handled. Tests that took the buffer's length take the constant, which is the same number.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -213,6 +213,9 @@
 // downstreamFlushed resumes it.
 func (a *attempt) readServer() {
 	r := a.request
+	buffers := &a.proxy.buffers.read
+	buffer := buffers.get()
+	defer buffers.put(buffer)
 	for range readsPerTurn {
 		if a.ended || !a.connected || r.state == stateTransferring {
 			return
@@ -221,7 +224,7 @@
 			r.clientStalled = true
 			return
 		}
-		n, err := a.upstream.Read(r.pendingMove.limitRead(a.proxy.buffers.read))
+		n, err := a.upstream.Read(r.pendingMove.limitRead(buffer))
 		if errors.Is(err, eventloop.ErrAgain) {
 			return
 		}
@@ -229,11 +232,10 @@
 			a.handleServerClosed(errors.Is(err, io.EOF))
 			return
 		}
-		b := a.proxy.buffers.read[:n]
 		if r.state == stateEstablished || r.state == stateHalfClosed {
-			r.forwardToClient(b)
+			r.forwardToClient(buffer[:n])
 		} else {
-			a.readAnswer(b)
+			a.readAnswer(buffer[:n])
 		}
 	}
 	a.proxy.loop.After(0, a.readServer)
--- a/internal/proxy/buffers.go
+++ b/internal/proxy/buffers.go
@@ -15,17 +15,42 @@
 	readsPerTurn = 4
 )
 
-// bufferLimits owns the read buffers, which all connections share, and the limits on data buffered for slow readers.
+// readBuffers lends read buffers of one size. Handling the bytes of one connection may read another, for example one
+// that is evicted for its descriptor. So a read gets a buffer of its own, and puts it back once its bytes are handled.
+type readBuffers struct {
+	size int // bytes
+	free [][]byte
+}
+
+// get returns a buffer that no other read uses.
+func (b *readBuffers) get() []byte {
+	last := len(b.free) - 1
+	if last < 0 {
+		return make([]byte, b.size)
+	}
+	buffer := b.free[last]
+	b.free = b.free[:last]
+	return buffer
+}
+
+// put takes back a buffer whose bytes are not used any more.
+func (b *readBuffers) put(buffer []byte) { b.free = append(b.free, buffer) }
+
+// bufferLimits owns the read buffers and the limits on data buffered for slow readers.
 type bufferLimits struct {
-	read            []byte     // for connections with one request; overwritten by each read
-	muxRead         []byte     // for multiplexed connections; nil until channels are turned on
-	maxPending      int        // bytes buffered for one slow reader before the proxy stops reading from its sender
-	sizedForReaders int        // number of slow readers that maxPending allows for
-	windows         mux.Budget // for the receive windows of all channels
+	read            readBuffers // for connections with one request
+	muxRead         readBuffers // for multiplexed connections
+	maxPending      int         // bytes buffered for one slow reader before the proxy stops reading from its sender
+	sizedForReaders int         // number of slow readers that maxPending allows for
+	windows         mux.Budget  // for the receive windows of all channels
 }
 
 func newBufferLimits() bufferLimits {
-	return bufferLimits{read: make([]byte, readSize), maxPending: overload.MaxPendingBytes}
+	return bufferLimits{
+		read:       readBuffers{size: readSize},
+		muxRead:    readBuffers{size: muxReadSize},
+		maxPending: overload.MaxPendingBytes,
+	}
 }
 
 // updateBufferLimits derives maxPending from the memory limit, the limit on descriptors and the number of requests.
--- a/internal/proxy/channel_config.go
+++ b/internal/proxy/channel_config.go
@@ -50,6 +50,5 @@
 		return
 	}
 	p.upstreams.pool = upstreampool.New(cfg.Pool)
-	p.buffers.muxRead = make([]byte, muxReadSize)
 	p.loop.After(retireInterval, p.upstreams.retireIdle)
 }
--- a/internal/proxy/channels_upstream_test.go
+++ b/internal/proxy/channels_upstream_test.go
@@ -47,7 +47,7 @@
 				buffered += r.downstream.Pending() + r.attempt.upstream.Pending()
 			}
 		})
-		if limit := 2 * (h.proxy.buffers.maxPending + len(h.proxy.buffers.read)); buffered > limit {
+		if limit := 2 * (h.proxy.buffers.maxPending + readSize); buffered > limit {
 			t.Fatalf("%d bytes buffered, want at most %d", buffered, limit)
 		}
 	}
--- a/internal/proxy/downstream.go
+++ b/internal/proxy/downstream.go
@@ -89,23 +89,33 @@
 		case c.closed, overload.StopsReading(c.discardedBytes):
 			return
 		}
-		n, err := c.conn.Read(c.proxy.buffers.read)
-		if errors.Is(err, eventloop.ErrAgain) {
+		if !c.readOnce() {
 			return
 		}
-		if err != nil {
-			c.handleClientClosed(errors.Is(err, io.EOF))
-			return
-		}
-		if c.lingering {
-			c.discardedBytes += n
-		} else {
-			c.readFirstLine(c.proxy.buffers.read[:n])
-		}
 	}
 	c.proxy.loop.After(0, func() { c.Readable(c.conn) })
 }
 
+// readOnce reads from a connection that carries no request and handles the bytes. It returns false if there are none.
+func (c *downstreamConn) readOnce() bool {
+	buffers := &c.proxy.buffers.read
+	buffer := buffers.get()
+	defer buffers.put(buffer)
+	n, err := c.conn.Read(buffer)
+	switch {
+	case errors.Is(err, eventloop.ErrAgain):
+		return false
+	case err != nil:
+		c.handleClientClosed(errors.Is(err, io.EOF))
+		return false
+	case c.lingering:
+		c.discardedBytes += n
+	default:
+		c.readFirstLine(buffer[:n])
+	}
+	return true
+}
+
 // multiplexed reports whether the connection currently carries channels.
 func (c *downstreamConn) multiplexed() bool { return c.mux != nil && !c.mux.closed }
 
@@ -125,7 +135,7 @@
 	taken := min(len(b), lineproto.MaxLine-had)
 	c.firstLine = append(c.firstLine, b[:taken]...)
 	if c.startsMux() {
-		c.startMux(bytes.Clone(b[taken:])) // b is the shared read buffer
+		c.startMux(b[taken:])
 		return
 	}
 	text, n, err := lineproto.SplitLine(c.firstLine)
--- a/internal/proxy/downstream_mux.go
+++ b/internal/proxy/downstream_mux.go
@@ -57,7 +57,9 @@
 
 // readClient reads from the client until there is no more data or its turn is over.
 func (m *muxDownstreamConn) readClient() {
-	buffer := m.conn.proxy.buffers.muxRead
+	buffers := &m.conn.proxy.buffers.muxRead
+	buffer := buffers.get()
+	defer buffers.put(buffer)
 	for range readsPerTurn {
 		if m.closed {
 			return
--- a/internal/proxy/established.go
+++ b/internal/proxy/established.go
@@ -86,11 +86,14 @@
 // readClient reads from the client and forwards to the server. It stops while too much data is pending for the server.
 // The request of a client that sends data before it has an answer fails.
 func (r *request) readClient() {
+	buffers := &r.proxy.buffers.read
+	buffer := buffers.get()
+	defer buffers.put(buffer)
 	for range readsPerTurn {
 		if !r.canReadClient() {
 			return
 		}
-		n, err := r.downstream.Read(r.proxy.buffers.read)
+		n, err := r.downstream.Read(buffer)
 		if errors.Is(err, eventloop.ErrAgain) {
 			return
 		}
@@ -99,7 +102,7 @@
 			return
 		}
 		if r.state == stateEstablished {
-			r.forwardToServer(r.proxy.buffers.read[:n])
+			r.forwardToServer(buffer[:n])
 		} else {
 			r.failForEarlyData()
 		}
--- a/internal/proxy/latency_test.go
+++ b/internal/proxy/latency_test.go
@@ -42,7 +42,7 @@
 		h.onLoop(readPending)
 	}
 	for range 300 {
-		if h.onLoop(readPending); pending == 0 || pending > h.proxy.buffers.maxPending+len(h.proxy.buffers.read) {
+		if h.onLoop(readPending); pending == 0 || pending > h.proxy.buffers.maxPending+readSize {
 			t.Fatalf("%d bytes buffered, want some, but within the limit", pending)
 		}
 	}
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -69,8 +69,11 @@
 
 // Readable is part of eventloop.Owner.
 func (h *healthProbe) Readable(conn *eventloop.Conn) {
+	buffers := &h.proxy.buffers.read
+	buffer := buffers.get()
+	defer buffers.put(buffer)
 	for !h.ended {
-		n, err := conn.Read(h.proxy.buffers.read)
+		n, err := conn.Read(buffer)
 		switch {
 		case errors.Is(err, eventloop.ErrAgain):
 			return
@@ -78,7 +81,7 @@
 			h.end(outcome.Reset)
 			return
 		}
-		h.readAnswer(h.proxy.buffers.read[:n])
+		h.readAnswer(buffer[:n])
 	}
 }
 
--- a/internal/proxy/upstream_mux.go
+++ b/internal/proxy/upstream_mux.go
@@ -109,7 +109,9 @@
 
 // Readable is part of eventloop.Owner.
 func (c *muxUpstreamConn) Readable(conn *eventloop.Conn) {
-	buffer := c.proxy.buffers.muxRead
+	buffers := &c.proxy.buffers.muxRead
+	buffer := buffers.get()
+	defer buffers.put(buffer)
 	for range readsPerTurn {
 		if c.closed || c.mux == nil {
 			return
