A client whose packets are being handled is not evicted by one of them

Callers would see the end of the connection with a channel unanswered, when descriptors are short and the client's own first channel is rejected in the turn in which another request is placed.

Cause: such a client has no channels for that moment and is in the list of idle connections; the eviction reads it again, below the handling of its packets, and closes it.

Change: evictions pass over a connection whose bytes are being handled.

Measured: TestEvictionSparesClientBeingHandled ends with EOF without the change and passes with it. By reading; no deployment has shown it.

--- a/internal/proxy/downstream_mux.go
+++ b/internal/proxy/downstream_mux.go
@@ -26,6 +26,7 @@
 	serviceRequested bool // the client has requested the service and may open channels
 	unfinished       int  // number of channels that carry a request, or have something to send before they are closed
 	openLimiter      overload.OpenLimiter
+	feeding          bool // bytes from the client are being handled
 	closed           bool
 }
 
@@ -83,7 +84,9 @@
 // violated the protocol.
 func (m *muxDownstreamConn) feed(b []byte) bool {
 	m.lastReceived = m.conn.proxy.loop.Now()
+	m.feeding = true
 	err := m.mux.Feed(b)
+	m.feeding = false
 	if err == nil {
 		if m.mux.Ready() && !m.serviceRequested {
 			m.serviceRequested = true
--- a/internal/proxy/eviction_order_test.go
+++ b/internal/proxy/eviction_order_test.go
@@ -150,3 +150,33 @@
 	}
 	clients[1].expect("UP 1\r\n")
 }
+
+// Guards against the eviction of a client whose packets are being handled: its first channel is rejected, which leaves
+// it without channels, and an attempt for another request needs a descriptor before its second packet is handled.
+func TestEvictionSparesClientBeingHandled(t *testing.T) {
+	var waiting decision.Request // accepted first, placed later
+	h := newHarness(t, 1, func(ev decision.Event) []decision.Action {
+		request, ok := ev.(decision.Request)
+		switch {
+		case !ok:
+			return nil
+		case waiting.ID == 0:
+			waiting = request
+			return nil
+		}
+		return []decision.Action{
+			decision.Reject{ID: request.ID},
+			decision.StartAttempt{ID: waiting.ID, Timeout: longTimeout},
+		}
+	}, enableDownstreamChannels)
+	h.connect(openLine)
+	await[decision.Request](h)
+	client := h.connectMuxPeer()
+	h.onLoop(func() { h.proxy.cfg.MaxDescriptors = 1 })
+	client.sendMessages(openMessage(0, "2"), openMessage(1, "3"))
+	for number := range uint32(2) {
+		if m := client.expectMessage(channel.OpenFailure); m.Channel != number || string(m.Data) != "BUSY" {
+			t.Errorf("channel %d was rejected with %q, want channel %d with BUSY", m.Channel, m.Data, number)
+		}
+	}
+}
--- a/internal/proxy/idle.go
+++ b/internal/proxy/idle.go
@@ -54,11 +54,14 @@
 	return all
 }
 
-// oldest returns the oldest connection of the first non-empty class, starting at from; nil if all are empty.
+// oldest returns the oldest connection of the first class that has one, starting at from; nil if there is none. A
+// connection whose bytes are being handled is passed over: more channels may follow, and it must not be read again.
 func (i *idleConns) oldest(from overload.EvictionClass) *downstreamConn {
 	for class := from; class < overload.EvictionClasses; class++ {
-		if entry := i.classes[class].Front(); entry != nil {
-			return entry.Value.(*downstreamConn)
+		for entry := i.classes[class].Front(); entry != nil; entry = entry.Next() {
+			if c := entry.Value.(*downstreamConn); c.mux == nil || !c.mux.feeding {
+				return c
+			}
 		}
 	}
 	return nil
