A read that is cut short is continued once, not once for each event

Cause: a read that stops after four rounds is continued by a callback, and each further event of the socket sets another one while the first goes on, so that a fast sender's part of the loop grows with each turn.

Change: eventloop.Continuation keeps one pending at most; all six places that continue a read use it.

--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -27,15 +27,16 @@
 
 // call is a single HTTP request with its response, on its own connection. It implements eventloop.Owner.
 type call struct {
-	client   *Client
-	state    callState
-	conn     *eventloop.Conn
-	response responseParser
-	object   []byte // received part of the current object
-	nesting  nestingScanner
-	scanned  int   // number of bytes of object that nesting has scanned
-	err      error // error in the body
-	timer    eventloop.Ref
+	client      *Client
+	state       callState
+	conn        *eventloop.Conn
+	response    responseParser
+	object      []byte // received part of the current object
+	nesting     nestingScanner
+	scanned     int   // number of bytes of object that nesting has scanned
+	err         error // error in the body
+	timer       eventloop.Ref
+	furtherRead eventloop.Continuation
 }
 
 func newCall(client *Client, state callState) *call {
@@ -102,7 +103,7 @@
 		c.client.lastByteAt = c.client.loop.Now()
 		c.receive(c.client.readBuffer[:n])
 	}
-	c.client.loop.After(0, func() { c.Readable(conn) })
+	c.furtherRead.Schedule(c.client.loop, func() { c.Readable(conn) })
 }
 
 // receive parses bytes of the response. Handling them may close the call.
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -36,6 +36,7 @@
 	timer         eventloop.Ref
 	failureShared bool // ended by a failure that was already counted, so no further evidence against the server
 	ended         bool
+	furtherRead   eventloop.Continuation // of the server
 }
 
 // attemptLimits are the number and the time limits of a new attempt. After the write timeout the server could no longer
@@ -238,7 +239,7 @@
 			a.readAnswer(buffer[:n])
 		}
 	}
-	a.proxy.loop.After(0, a.readServer)
+	a.furtherRead.Schedule(a.proxy.loop, a.readServer)
 }
 
 // readAnswer collects the server's first line and handles it once it is complete.
--- a/internal/proxy/downstream.go
+++ b/internal/proxy/downstream.go
@@ -57,6 +57,7 @@
 	closed         bool
 	discardedBytes int  // bytes that arrived while lingering
 	clientClosed   bool // the client has closed its sending side
+	furtherRead    eventloop.Continuation
 	idle           idlePosition
 	timer          eventloop.Ref
 }
@@ -93,7 +94,7 @@
 			return
 		}
 	}
-	c.proxy.loop.After(0, func() { c.Readable(c.conn) })
+	c.furtherRead.Schedule(c.proxy.loop, func() { c.Readable(c.conn) })
 }
 
 // readOnce reads from a connection that carries no request and handles the bytes. It returns false if there are none.
--- a/internal/proxy/downstream_mux.go
+++ b/internal/proxy/downstream_mux.go
@@ -28,6 +28,7 @@
 	openLimiter      overload.OpenLimiter
 	feeding          bool // bytes from the client are being handled
 	closed           bool
+	furtherRead      eventloop.Continuation
 }
 
 // startMux turns the connection, whose first line starts with the greeting of the channel protocol, into a multiplexed
@@ -77,7 +78,7 @@
 			return
 		}
 	}
-	m.conn.proxy.loop.After(0, m.readClient)
+	m.furtherRead.Schedule(m.conn.proxy.loop, m.readClient)
 }
 
 // feed handles bytes from the client. It returns false if the connection is closed, because the client disconnected or
--- a/internal/proxy/established.go
+++ b/internal/proxy/established.go
@@ -107,7 +107,7 @@
 			r.failForEarlyData()
 		}
 	}
-	r.proxy.loop.After(0, r.readClient)
+	r.furtherRead.Schedule(r.proxy.loop, r.readClient)
 }
 
 // canReadClient reports whether data from the client may be read now. It may not while too much data is pending for the
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -35,6 +35,8 @@
 	attempt  *attempt // current or established attempt; nil for none
 	attempts int      // number of attempts started
 
+	furtherRead eventloop.Continuation // of the client
+
 	reattachFailures int // consecutive, in stateReattaching
 
 	establishedStream
--- a/internal/proxy/upstream_mux.go
+++ b/internal/proxy/upstream_mux.go
@@ -83,6 +83,7 @@
 	failure      attemptoutcome.SharedFailure // tells whether a failure of the connection was already counted
 	failing      bool                         // attempts are being ended because the connection fails
 	closed       bool
+	furtherRead  eventloop.Continuation
 }
 
 // Connected is part of eventloop.Owner.
@@ -130,7 +131,7 @@
 			return
 		}
 	}
-	c.proxy.loop.After(0, func() { c.Readable(conn) })
+	c.furtherRead.Schedule(c.proxy.loop, func() { c.Readable(conn) })
 }
 
 // handleProtocolError handles an error from the channel protocol, including the server's DISCONNECT.
