One connection's small messages no longer fill a turn of the loop; plays of misuse

Cause: a turn was bounded in reads, four of 64 KiB, which hold 16,384 messages, and each reply was a system call.

Tests of mux feed until nothing is backlogged.

--- a/internal/channel/packet.go
+++ b/internal/channel/packet.go
@@ -58,6 +58,15 @@
 	return text, end + 1, nil
 }
 
+// PacketSize returns the length of the whole packet at the start of buf as its header states it; 0 if buf does not hold
+// that field completely yet.
+func PacketSize(buf []byte) int {
+	if len(buf) < lengthSize {
+		return 0
+	}
+	return lengthSize + int(binary.BigEndian.Uint32(buf))
+}
+
 // SplitPacket returns the payload of the packet at the start of buf. n is the length of the whole packet; 0 means that
 // buf does not hold it completely yet. The error is ErrLength or ErrPad.
 func SplitPacket(buf []byte) (payload []byte, n int, err error) {
--- a/internal/mux/mux.go
+++ b/internal/mux/mux.go
@@ -10,6 +10,7 @@
 package mux
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 
@@ -74,6 +75,14 @@
 	// maxUnreadReplies is the maximum number of bytes that may be pending on the wire after a message of the peer was
 	// handled. Beyond it, the peer is taken to send requests without reading the replies.
 	maxUnreadReplies = 512 << 10
+	// messagesPerFeed is the maximum number of messages that one call of Feed handles, so that a peer that sends small
+	// ones at full speed does not keep the process from others.
+	messagesPerFeed = 64
+	// maxReplyBatch is the number of bytes of messages that are collected, while received ones are handled, before they
+	// are written.
+	maxReplyBatch = 16 << 10
+	// keptReplyBuffer is the largest buffer for replies, in bytes, that a connection keeps while it is idle.
+	keptReplyBuffer = 1 << 10
 	// minPeerPacket is the smallest maximum packet size, in bytes, that a peer may announce.
 	minPeerPacket = 16
 )
@@ -116,17 +125,19 @@
 	wire            Wire
 	owner           Owner
 	stage           connectionStage
-	buf             []byte // the received part of an incomplete packet or identification line
+	partial         []byte // the received part of an incomplete packet or identification line
+	backlog         []byte // received bytes that Feed has not handled yet, see Backlogged
 	packetsReceived uint32
 	channels        eventloop.Slots[*Channel]
 	turnHead        *Channel // first and last channel in the queue for turns
 	turnTail        *Channel
 	pumping         bool // whether pump is on the call stack
+	feeding         bool // whether Feed is on the call stack
 	unansweredPings int
 
 	// Scratch space, kept to avoid allocations per packet.
 	msg   channel.Message
-	out   []byte
+	out   []byte // messages to be written; empty unless feeding
 	head  channel.DataHeader
 	parts [][]byte
 }
@@ -142,7 +153,7 @@
 	return c
 }
 
-func (c *Conn) identify() { c.wire.Write([]byte("SSH-2.0-spurspread_" + c.cfg.Version + "\r\n")) }
+func (c *Conn) identify() { c.write([]byte("SSH-2.0-spurspread_" + c.cfg.Version + "\r\n")) }
 
 // Len returns the number of channels, including those that wait for the peer's CLOSE.
 func (c *Conn) Len() int { return c.channels.Len() }
@@ -153,9 +164,24 @@
 // Ready reports whether channels may be opened: the service is accepted and the connection has not ended.
 func (c *Conn) Ready() bool { return c.stage == running }
 
+// send sends a message. While received messages are handled, those to be sent are collected, so that many small ones
+// don't need a system call each.
 func (c *Conn) send(m *channel.Message) {
-	c.out = channel.Append(c.out[:0], m)
-	c.wire.Write(c.out)
+	c.out = channel.Append(c.out, m)
+	if !c.feeding || len(c.out) >= maxReplyBatch {
+		c.write()
+	}
+}
+
+// write writes the collected messages and then the parts.
+func (c *Conn) write(parts ...[]byte) {
+	if len(c.out) > 0 {
+		c.wire.Write(c.out)
+		c.out = c.out[:0]
+	}
+	if len(parts) > 0 {
+		c.wire.Write(parts...)
+	}
 }
 
 // Ping sends a keepalive request; Owner.PingAnswered is called when it is answered. Ping does nothing unless Ready.
@@ -171,41 +197,80 @@
 func (c *Conn) Disconnect(code uint32, text string) {
 	if c.stage != finished {
 		c.send(&channel.Message{Type: channel.Disconnect, Code: code, Data: []byte(text)})
+		c.write() // the caller may close the wire before Feed returns
 		c.stage = finished
 	}
 }
 
-// Feed handles received bytes. After an error (ErrDisconnected, ErrNotSSH or a protocol error, of which the peer has
-// been informed) the caller has to close the connection and call Lost.
+// Feed handles received bytes, but at most messagesPerFeed messages: while Backlogged reports true, the caller has to
+// call Feed again, without bytes, before it passes on more. After an error (ErrDisconnected, ErrNotSSH or a protocol
+// error, of which the peer has been informed) the caller has to close the connection and call Lost.
 func (c *Conn) Feed(b []byte) error {
-	buffered := len(c.buf) > 0
-	if buffered {
-		c.buf = append(c.buf, b...)
-		b = c.buf
+	if len(c.backlog) > 0 {
+		b = append(c.backlog, b...)
+		c.backlog = nil
 	}
-	for c.stage != finished {
-		n, err := c.step(b)
-		if err == nil && c.wire.Pending() > maxUnreadReplies {
-			err = protocolError{channel.TooManyConnections, "asks and does not read"}
+	c.feeding = true
+	rest, err := c.handleReceived(b)
+	if err != nil {
+		c.endWithError(err)
+	}
+	c.feeding = false
+	c.write()
+	if cap(c.out) > keptReplyBuffer {
+		c.out = nil
+	}
+	if c.stage == finished {
+		c.partial = nil
+	} else if len(rest) > 0 {
+		c.backlog = bytes.Clone(rest)
+	}
+	return err
+}
+
+// Backlogged reports whether received messages wait for the next call of Feed.
+func (c *Conn) Backlogged() bool { return len(c.backlog) > 0 }
+
+// handleReceived handles at most messagesPerFeed messages and returns the bytes after them. It moves an incomplete
+// message at the end to partial.
+func (c *Conn) handleReceived(b []byte) (rest []byte, err error) {
+	for handled := 0; handled < messagesPerFeed && len(b) > 0 && c.stage != finished; handled++ {
+		if b, err = c.handleNext(b); err != nil {
+			return nil, err
 		}
-		if err != nil {
-			c.endWithError(err)
-			return err
+		if c.wire.Pending()+len(c.out) > maxUnreadReplies {
+			return nil, protocolError{channel.TooManyConnections, "asks and does not read"}
 		}
-		if n == 0 {
-			break
+	}
+	return b, nil
+}
+
+// handleNext handles the message at the start of partial and b, or moves bytes of b to partial if it is incomplete. It
+// returns the other bytes of b.
+func (c *Conn) handleNext(b []byte) (rest []byte, err error) {
+	if len(c.partial) == 0 {
+		n, err := c.step(b)
+		if n == 0 && err == nil {
+			c.partial = bytes.Clone(b)
+			return nil, nil
 		}
-		b = b[n:]
+		return b[n:], err
 	}
-	switch {
-	case len(b) == 0 || c.stage == finished:
-		c.buf = nil // so that an idle connection holds no buffer
-	case buffered:
-		c.buf = c.buf[:copy(c.buf, b)]
-	default:
-		c.buf = append([]byte(nil), b...)
+	n := min(c.missing(), len(b))
+	c.partial = append(c.partial, b[:n]...)
+	if handled, err := c.step(c.partial); handled > 0 || err != nil {
+		c.partial = nil // so that an idle connection holds no buffer
+		return b[n:], err
 	}
-	return nil
+	return b[n:], nil
+}
+
+// missing returns the number of bytes that partial needs at least until its message is complete.
+func (c *Conn) missing() int {
+	if size := channel.PacketSize(c.partial); c.stage != identifying && size > len(c.partial) {
+		return size - len(c.partial)
+	}
+	return 1 // an identification line, whose length is not known, or a packet's length
 }
 
 // endWithError ends the connection. The peer is sent DISCONNECT, unless it has sent one itself or does not speak SSH.
@@ -218,7 +283,7 @@
 	default:
 		c.Disconnect(channel.ProtocolError, err.Error())
 	}
-	c.stage, c.buf = finished, nil
+	c.stage, c.partial = finished, nil
 }
 
 // step handles the identification line or packet at the start of b. It returns its length, 0 if it is incomplete.
--- a/internal/mux/mux_test.go
+++ b/internal/mux/mux_test.go
@@ -132,11 +132,20 @@
 	return client, server
 }
 
+// feedAll passes received bytes to the connection until it has handled all.
+func (e *side) feedAll(b []byte) error {
+	err := e.c.Feed(b)
+	for err == nil && e.c.Backlogged() {
+		err = e.c.Feed(nil)
+	}
+	return err
+}
+
 // exchange passes bytes in both directions until none are pending.
 func exchange(t interface{ Fatalf(string, ...any) }, a, b *side) {
 	for a.wire.Pending()+b.wire.Pending() > 0 {
 		for _, x := range [][2]*side{{a, b}, {b, a}} {
-			if err := x[1].c.Feed(x[0].wire.take(1 << 20)); err != nil {
+			if err := x[1].feedAll(x[0].wire.take(1 << 20)); err != nil {
 				t.Fatalf("%s: %v", x[1].name, err)
 			}
 			x[0].c.Flushed()
@@ -504,7 +513,7 @@
 	client.streams[0].write(make([]byte, 3000))
 	exchange(t, client, server)
 	client.c.Disconnect(11, "enough")
-	_ = server.c.Feed(client.wire.take(1 << 20))
+	_ = server.feedAll(client.wire.take(1 << 20))
 	server.c.Lost(true)
 	client.c.Lost(true)
 	server.streams[0].ch.Close()
@@ -549,7 +558,7 @@
 
 func (m *randomRun) pass(t *rapid.T, from, to *side) {
 	n := rapid.IntRange(1, 5000).Draw(t, "bytes")
-	if err := to.c.Feed(from.wire.take(n)); err != nil {
+	if err := to.feedAll(from.wire.take(n)); err != nil {
 		t.Fatalf("%s: %v", to.name, err)
 	}
 	if from.wire.Pending() == 0 {
@@ -699,7 +708,7 @@
 	server.wire.buffered = make([]byte, 0, 1<<20)
 	if n := testing.AllocsPerRun(1000, func() {
 		a.ch.Write(line)
-		if err := server.c.Feed(client.wire.buffered); err != nil {
+		if err := server.feedAll(client.wire.buffered); err != nil {
 			t.Fatal(err)
 		}
 		client.wire.buffered = client.wire.buffered[:0]
@@ -766,14 +775,14 @@
 				s.ch.Confirm(nil)
 			}
 		}
-		_ = e.c.Feed(in)
+		_ = e.feedAll(in)
 		for i, s := range e.streams {
 			if i%2 == 0 {
 				s.ch.Confirm(nil)
 				s.ch.Write([]byte("x"))
 			}
 		}
-		_ = e.c.Feed(in)
+		_ = e.feedAll(in)
 		e.c.Lost(false)
 		for _, s := range e.streams {
 			s.ch.Close()
--- a/internal/mux/send.go
+++ b/internal/mux/send.go
@@ -42,7 +42,7 @@
 	pad := channel.PutDataHeader(&c.head, ch.peerID, n)
 	ch.sendWindow -= uint32(n)
 	c.parts = append(append(append(c.parts[:0], c.head[:]), parts...), pad)
-	c.wire.Write(c.parts...)
+	c.write(c.parts...)
 	clear(c.parts)
 }
 
--- a/internal/proxy/buffers.go
+++ b/internal/proxy/buffers.go
@@ -9,7 +9,7 @@
 	// readSize is the size of the read buffer for a connection with one request, in bytes.
 	readSize = 8 << 10
 	// muxReadSize is the size of the read buffer for a multiplexed connection, which carries many requests, in bytes.
-	muxReadSize = 64 << 10
+	muxReadSize = 16 << 10
 	// readsPerTurn bounds the successive reads from one socket. More data is read after the events of other sockets, so
 	// that these are not starved.
 	readsPerTurn = 4
--- a/internal/proxy/downstream_mux.go
+++ b/internal/proxy/downstream_mux.go
@@ -66,6 +66,10 @@
 		if m.closed {
 			return
 		}
+		if m.mux.Backlogged() {
+			m.feed(nil)
+			break
+		}
 		n, err := m.conn.conn.Read(buffer)
 		if errors.Is(err, eventloop.ErrAgain) {
 			return
@@ -78,6 +82,9 @@
 			return
 		}
 	}
+	if m.closed {
+		return
+	}
 	m.furtherRead.Schedule(m.conn.proxy.loop, m.readClient)
 }
 
--- a/internal/proxy/upstream_mux.go
+++ b/internal/proxy/upstream_mux.go
@@ -117,6 +117,13 @@
 		if c.closed || c.mux == nil {
 			return
 		}
+		if c.mux.Backlogged() {
+			if err := c.mux.Feed(nil); err != nil {
+				c.handleProtocolError(err)
+				return
+			}
+			break
+		}
 		n, err := conn.Read(buffer)
 		if errors.Is(err, eventloop.ErrAgain) {
 			return
--- /dev/null
+++ b/lab/abuse/holders.go
@@ -0,0 +1,110 @@
+package abuse
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"spurspread/internal/channel"
+)
+
+const (
+	// holders is the number of clients at once: nearly as many as the balancer's descriptors allow.
+	holders = 850
+	// opensAtOnce is the number of channels that a client may open at once.
+	opensAtOnce = 200
+	// unreadRequests is the number of messages that a client sends without reading the replies.
+	unreadRequests = 100_000
+	// slowWrites is the number of writes in which a client sends its request byte by byte.
+	slowWrites = 40
+)
+
+// holdMemory plays one kind of holders after another. All connect at once, stay for the span, and leave.
+func holdMemory(s *stage) error {
+	kinds := []func(*stage) []byte{halfLine, waitingRequest}
+	if s.Channels {
+		kinds = []func(*stage) []byte{halfPacket, waitingChannels, unreadReplies}
+	}
+	for _, kind := range kinds {
+		if err := s.holdWith(kind); err != nil {
+			return err
+		}
+		s.closeAll()
+		time.Sleep(s.Span / 2)
+	}
+	return s.holdSlowly(kinds[0])
+}
+
+// holdWith has all holders send the same kind of bytes at once.
+func (s *stage) holdWith(kind func(*stage) []byte) error {
+	var writes sync.WaitGroup
+	for range holders {
+		conn, err := s.dial()
+		if err != nil {
+			return err
+		}
+		content := kind(s)
+		writes.Go(func() { write(conn, content) })
+	}
+	writes.Wait()
+	time.Sleep(s.Span)
+	s.result.PhasesMB = append(s.result.PhasesMB, int(s.balancer.ResidentBytes()/bytesPerMB))
+	return nil
+}
+
+// holdSlowly has all holders send a first part at once and the rest byte by byte over the span.
+func (s *stage) holdSlowly(kind func(*stage) []byte) error {
+	contents := make([][]byte, holders)
+	conns := make([]net.Conn, holders)
+	for i := range holders {
+		conn, err := s.dial()
+		if err != nil {
+			return err
+		}
+		conns[i], contents[i] = conn, kind(s)
+		write(conn, contents[i][:len(contents[i])-slowWrites])
+	}
+	for step := range slowWrites {
+		for i, conn := range conns {
+			at := len(contents[i]) - slowWrites + step
+			write(conn, contents[i][at:at+1])
+		}
+		time.Sleep(s.Span / slowWrites)
+	}
+	return nil
+}
+
+// halfLine is a first line of many short fields without its end.
+func halfLine(s *stage) []byte { return []byte(requestLine(s.newID("a"), longLine)) }
+
+// waitingRequest is a whole request, which waits for a server.
+func waitingRequest(s *stage) []byte { return []byte(requestLine(s.newID("b"), longLine) + "\r\n") }
+
+// halfPacket is a burst of packets that are passed over, and half of a packet of the greatest length.
+func halfPacket(s *stage) []byte {
+	s.result.Sent++
+	large := packets(channel.Message{Type: channel.Ignore, Data: make([]byte, channel.MaxData)})
+	return append(append(greeting(), large...), large[:len(large)-1]...)
+}
+
+// waitingChannels is as many opens as are allowed at once, with long first lines, which wait for a server.
+func waitingChannels(s *stage) []byte {
+	b := greeting()
+	for number := range uint32(opensAtOnce) {
+		b = append(b, packets(openMessage(number, requestLine(s.newID("c"), longLine)))...)
+	}
+	return b
+}
+
+// unreadReplies is messages that are answered at once, sent without reading the answers.
+func unreadReplies(s *stage) []byte {
+	s.result.Sent += unreadRequests
+	keepalive := packets(channel.Message{
+		Type: channel.GlobalRequest, Name: []byte(channel.Keepalive), WantReply: true,
+	})
+	b := greeting()
+	for range unreadRequests {
+		b = append(b, keepalive...)
+	}
+	return b
+}
--- a/lab/deployment/balancer.go
+++ b/lab/deployment/balancer.go
@@ -60,7 +60,12 @@
 // StartSingle starts one balancer whose only node is at nodeAddr. Files are written to the existing folder dir. The
 // discovery service for the balancer is closed once the balancer listens.
 func StartSingle(program, dir, nodeAddr string, channels bool) (*Balancer, error) {
-	cfg := Config{Program: program, Dir: dir, Balancers: 1, Seed: 1, Channels: channels}
+	return StartOne(Config{Program: program, Dir: dir, Seed: 1, Channels: channels}, nodeAddr)
+}
+
+// StartOne is StartSingle with a whole configuration, of which it uses what concerns a balancer.
+func StartOne(cfg Config, nodeAddr string) (*Balancer, error) {
+	cfg.Balancers = 1
 	d := &Deployment{cfg: cfg}
 	err := d.writeSiteFiles()
 	if err != nil {
--- a/lab/deployment/config.go
+++ b/lab/deployment/config.go
@@ -15,6 +15,9 @@
 const (
 	// memoryMB is a balancer's memory limit.
 	memoryMB = 192
+	// descriptors and platformDescriptors are a balancer's limits of descriptors.
+	descriptors         = 8192
+	platformDescriptors = 1024
 	// Each process of each balancer has its own seed, computed from the deployment's seed, the balancer's rank, and
 	// the number of the balancer's starts.
 	seedsPerDeployment = 1000
@@ -30,7 +33,10 @@
 		return nil
 	}
 	text := `<spurspread xmlns="urn:spurspread:site:1" name="lab">` + "\n"
-	if d.cfg.Channels {
+	switch {
+	case d.cfg.Channels && d.cfg.PlatformLimits:
+		text += `<channels clients="true" nodes="false"/>` + "\n"
+	case d.cfg.Channels:
 		text += `<channels most="1024" opens="2000/s"><trunks channels="1024"/></channels>` + "\n"
 	}
 	var err error
@@ -53,6 +59,10 @@
 
 // balancerConfig returns the configuration that the platform would give a balancer.
 func (d *Deployment) balancerConfig(b *Balancer) map[string]any {
+	sockets := descriptors
+	if d.cfg.PlatformLimits {
+		sockets = platformDescriptors
+	}
 	seed := d.cfg.Seed*seedsPerDeployment + uint64(b.rank*seedsPerBalancer+b.starts)
 	return map[string]any{
 		"name":      fmt.Sprint("n", b.rank),
@@ -63,7 +73,7 @@
 		"limits": map[string]any{
 			"cores":     1,
 			"memory_mb": memoryMB,
-			"sockets":   8192,
+			"sockets":   sockets,
 		},
 		"known": d.Discovery.FullList(),
 		"settings": map[string]any{
--- a/lab/deployment/deployment.go
+++ b/lab/deployment/deployment.go
@@ -52,6 +52,7 @@
 	Nodes            int
 	Tokens           bool // the site file enables resume tokens, and the nodes have the key
 	Channels         bool // the site file enables multiplexed channels, and the nodes accept them
+	PlatformLimits   bool // descriptors and channels are limited as on the platform, not as large runs need
 	Seed             uint64
 	Interval         time.Duration // between two messages of a stream
 	RetainedMessages uint64        // messages of each stream that a node's log retains
