What requests on channels hold while they wait is bounded, heaviest client first

Cause: channels are bounded for each connection, and the product with the connections by nothing.

Change: bytes held by waiting requests are counted by connection and in all; a quarter of the memory is the limit, its second half for connections that hold no more than an equal part. Beyond it an open is BUSY (memory_short) before it has state; an open counts as eight messages of a turn.

--- a/decision/answercause/answercause.go
+++ b/decision/answercause/answercause.go
@@ -38,6 +38,7 @@
 	ClientTooEarly                                     // the client sent more data before it was answered
 	ReattachFailed                                     // the server that it names was not listed in time or rejected it
 	ChannelLimit                                       // its connection opened more channels than allowed
+	MemoryShort                                        // channels' requests that wait hold too much memory
 	Overdue                                            // no decision was made in time; this is a defect
 	causeCount
 )
@@ -69,6 +70,7 @@
 	ClientTooEarly:    "client_too_early",
 	ReattachFailed:    "reattach_failed",
 	ChannelLimit:      "channel_limit",
+	MemoryShort:       "memory_short",
 	Overdue:           "overdue",
 }
 
--- a/internal/mux/mux.go
+++ b/internal/mux/mux.go
@@ -78,6 +78,8 @@
 	// messagesPerFeed is the maximum number of messages that one call of Feed handles, so that a peer that sends small
 	// ones at full speed does not keep the process from others.
 	messagesPerFeed = 64
+	// openCost is the number of messages as which an OPEN counts: it starts a request.
+	openCost = 8
 	// maxReplyBatch is the number of bytes of messages that are collected, while received ones are handled, before they
 	// are written.
 	maxReplyBatch = 16 << 10
@@ -133,6 +135,7 @@
 	turnTail        *Channel
 	pumping         bool // whether pump is on the call stack
 	feeding         bool // whether Feed is on the call stack
+	feedLeft        int  // number of messages that this call of Feed may still handle
 	unansweredPings int
 
 	// Scratch space, kept to avoid allocations per packet.
@@ -234,7 +237,8 @@
 // handleReceived handles at most messagesPerFeed messages and returns the bytes after them. It moves an incomplete
 // message at the end to partial.
 func (c *Conn) handleReceived(b []byte) (rest []byte, err error) {
-	for handled := 0; handled < messagesPerFeed && len(b) > 0 && c.stage != finished; handled++ {
+	c.feedLeft = messagesPerFeed
+	for c.feedLeft > 0 && len(b) > 0 && c.stage != finished {
 		if b, err = c.handleNext(b); err != nil {
 			return nil, err
 		}
@@ -310,6 +314,10 @@
 	if err := channel.Parse(payload, &c.msg); err != nil {
 		return 0, err
 	}
+	c.feedLeft--
+	if c.msg.Type == channel.Open {
+		c.feedLeft -= openCost - 1
+	}
 	return n, c.handleMessage(&c.msg, seq)
 }
 
--- a/internal/proxy/buffers.go
+++ b/internal/proxy/buffers.go
@@ -43,6 +43,7 @@
 	maxPending      int         // bytes buffered for one slow reader before the proxy stops reading from its sender
 	sizedForReaders int         // number of slow readers that maxPending allows for
 	windows         mux.Budget  // for the receive windows of all channels
+	held            int64       // bytes held by waiting requests on channels
 }
 
 func newBufferLimits() bufferLimits {
--- a/internal/proxy/downstream_mux.go
+++ b/internal/proxy/downstream_mux.go
@@ -26,7 +26,8 @@
 	serviceRequested bool // the client has requested the service and may open channels
 	unfinished       int  // number of channels that carry a request, or have something to send before they are closed
 	openLimiter      overload.OpenLimiter
-	feeding          bool // bytes from the client are being handled
+	held             int64 // bytes held by the client's waiting requests
+	feeding          bool  // bytes from the client are being handled
 	closed           bool
 	furtherRead      eventloop.Continuation
 }
@@ -190,15 +191,29 @@
 func (m *muxDownstreamConn) Admit([]byte) (code uint32, reason string) {
 	p := m.conn.proxy
 	cfg := p.cfg.Channels
-	if m.openLimiter.Admit(p.loop.Now(), cfg.OpensPerSecond, m.mux.Len(), cfg.MaxChannels) {
+	cause := answercause.MemoryShort
+	if !m.openLimiter.Admit(p.loop.Now(), cfg.OpensPerSecond, m.mux.Len(), cfg.MaxChannels) {
+		cause = answercause.ChannelLimit
+	} else if m.admitsHeld() {
 		return 0, ""
 	}
 	p.stats.rejected++
-	p.countUnserved("", answercause.ChannelLimit)
+	p.countUnserved("", cause)
 	busy := lineproto.AppendBusy(nil, millisRoundedUp(p.retryAfter()))
 	return channel.ResourceShortage, string(bytes.TrimRight(busy, lineEnd))
 }
 
+// admitsHeld reports whether another request of the client may wait for its answer.
+func (m *muxDownstreamConn) admitsHeld() bool {
+	p := m.conn.proxy
+	return overload.AdmitsHeld(overload.Held{
+		Own:         m.held,
+		Total:       p.buffers.held,
+		Limit:       overload.HeldLimit(p.cfg.MemoryLimit),
+		Connections: len(p.listener.muxConns),
+	})
+}
+
 // Open is part of mux.Owner: the client has opened a channel, whose data is the first line of a request.
 func (m *muxDownstreamConn) Open(ch *mux.Channel, data []byte) {
 	p := m.conn.proxy
@@ -212,6 +227,7 @@
 	line := make([]byte, 0, len(text)+len(lineEnd))
 	line = append(append(line, text...), lineEnd...)
 	k := &downstreamChannel{conn: m, Channel: ch}
+	k.hold(overload.HeldRequestBytes(len(line)))
 	m.unfinished++
 	p.listener.idle.remove(m.conn)
 	ch.SetOwner(k)
@@ -235,9 +251,17 @@
 	sendsMove bool   // closeGracefully sends MOVE
 	answered  bool   // the channel was rejected with the final answer, which ended it
 	released  bool
+	held      int64   // bytes held while the request waits for its answer
 	linger    *linger // closes the channel if the client does not read what is pending
 }
 
+// hold sets the number of bytes that the channel holds while its request waits.
+func (k *downstreamChannel) hold(bytes int64) {
+	k.conn.held += bytes - k.held
+	k.conn.conn.proxy.buffers.held += bytes - k.held
+	k.held = bytes
+}
+
 // release removes the channel from its connection's count, once nothing is left to send on it. A connection without
 // unfinished channels becomes idle and, during a drain, is closed. Only the first call has an effect.
 func (k *downstreamChannel) release() {
@@ -246,6 +270,7 @@
 	}
 	k.released = true
 	k.request = nil
+	k.hold(0)
 	m := k.conn
 	m.unfinished--
 	if m.unfinished > 0 || m.closed {
@@ -290,7 +315,10 @@
 // Reset is part of transport: the client receives CLOSE without EOF.
 func (k *downstreamChannel) Reset() { k.Close() }
 
-func (k *downstreamChannel) sendUp(line []byte) { k.Confirm(bytes.TrimRight(line, lineEnd)) }
+func (k *downstreamChannel) sendUp(line []byte) {
+	k.hold(0)
+	k.Confirm(bytes.TrimRight(line, lineEnd))
+}
 
 // sendFinal rejects the channel, with the answer as the description and the reason code that matches it best.
 func (k *downstreamChannel) sendFinal(answer []byte) {
--- a/lab/abuse/holders.go
+++ b/lab/abuse/holders.go
@@ -13,6 +13,8 @@
 	holders = 850
 	// opensAtOnce is the number of channels that a client may open at once.
 	opensAtOnce = 200
+	// holderReadBuffer is the size of a client's receive buffer, in bytes: unread replies stay with the balancer.
+	holderReadBuffer = 4 << 10
 	// unreadRequests is the number of messages that a client sends without reading the replies.
 	unreadRequests = 100_000
 	// slowWrites is the number of writes in which a client sends its request byte by byte.
@@ -43,6 +45,7 @@
 		if err != nil {
 			return err
 		}
+		_ = conn.SetReadBuffer(holderReadBuffer)
 		content := kind(s)
 		writes.Go(func() { write(conn, content) })
 	}
