A hot restart tells the successor the ids of finished requests

Cause: the last 1,024 ids, by which duplicates are refused, were known to one process only; without the restart 0 run twice.

Change: the old process sends them over the socket of the offers at the start. An older successor rejects the packet like a malformed offer with reference 0, which is passed over.

TestFinishedIDsAreKnownToSuccessor fails without the change.

--- a/decision/requestids/requestids.go
+++ b/decision/requestids/requestids.go
@@ -49,5 +49,17 @@
 	s.next = (s.next + 1) % MaxFinished
 }
 
+// Finished returns the known ids of finished requests, the one that finished first in front.
+func (s *Set) Finished() []uint64 {
+	return append(append([]uint64(nil), s.recent[s.next:]...), s.recent[:s.next]...)
+}
+
+// AddFinished adds the id of a request that has finished in another process, unless it is known.
+func (s *Set) AddFinished(id uint64) {
+	if s.Add(id) {
+		s.Finish(id)
+	}
+}
+
 // Len returns the number of known ids.
 func (s *Set) Len() int { return len(s.known) }
--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -32,10 +32,25 @@
 		return
 	}
 	d.transfer = t
+	t.sendFinishedIDs()
 	t.offerRound()
 	p.loop.After(t.plan.Deadline()-p.loop.Now(), t.moveUntransferred)
 }
 
+// sendFinishedIDs tells the successor the ids of requests that have finished here, so that a client that comes again
+// with one of them is rejected there, too. Those that can't be sent are rejected by their servers only.
+func (t *transferSender) sendFinishedIDs() {
+	packets, err := restartproto.EncodeFinishedIDs(t.proxy.requests.ids.Finished())
+	for _, packet := range packets {
+		if err == nil {
+			err = t.link.Send(packet)
+		}
+	}
+	if err != nil {
+		t.proxy.log.WithError(err).Warn("hot restart: can't pass the ids of finished requests on")
+	}
+}
+
 // offerRound offers the connections that can be transferred now, and reschedules itself: a connection in the middle of
 // a line can be transferred once the line is complete.
 func (t *transferSender) offerRound() {
@@ -139,6 +154,9 @@
 func (t *transferSender) Packet(_ *eventloop.PacketConn, b []byte, fds []int) {
 	closeDescriptors(fds) // answers come without descriptors
 	id, accepted, err := restartproto.DecodeAnswer(b)
+	if err == nil && id == restartproto.NoRef {
+		return // a successor of an older version does not know the packet with ids
+	}
 	if err != nil || !t.plan.Answered(id, accepted) {
 		t.proxy.log.WithError(err).Warn("hot restart: unexpected answer from successor")
 		t.link.Shutdown()
--- a/internal/proxy/transfer_receive.go
+++ b/internal/proxy/transfer_receive.go
@@ -18,8 +18,25 @@
 // Ended is part of eventloop.PacketOwner.
 func (transferReceiver) Ended(link *eventloop.PacketConn) { link.Close() }
 
-// Packet is part of eventloop.PacketOwner: the offer of one connection, with its two sockets.
+// Packet is part of eventloop.PacketOwner: the offer of one connection, with its two sockets, or ids of finished
+// requests.
 func (t transferReceiver) Packet(link *eventloop.PacketConn, b []byte, fds []int) {
+	if ids, err := restartproto.DecodeFinishedIDs(b); err == nil {
+		closeDescriptors(fds)
+		t.addFinished(ids)
+		return
+	}
+	t.receiveOffer(link, b, fds)
+}
+
+func (t transferReceiver) addFinished(ids []uint64) {
+	for _, id := range ids {
+		t.proxy.requests.ids.AddFinished(id)
+	}
+}
+
+// receiveOffer accepts or rejects the offer of a connection.
+func (t transferReceiver) receiveOffer(link *eventloop.PacketConn, b []byte, fds []int) {
 	p := t.proxy
 	offer, err := restartproto.DecodeOffer(b)
 	if err != nil || !t.accepts(&offer, len(fds)) {
--- a/internal/proxy/transfer_test.go
+++ b/internal/proxy/transfer_test.go
@@ -387,3 +387,18 @@
 	}
 	return r
 }
+
+// Guards against a request that runs twice: a client whose request has finished before a hot restart, and that comes
+// again with the same id at the successor, is rejected there.
+func TestFinishedIDsAreKnownToSuccessor(t *testing.T) {
+	h := newHarness(t, 1, sendToFirst, nil)
+	next, path := h.successor()
+	client, _ := h.establishWithID(0x1000)
+	h.check(client.Close())
+	h.waitUntil(func() bool { return h.proxy.requests.len() == 0 })
+	h.hotRestart(path, os.Getpid())
+	h.waitStopped()
+	again := next.connect("OPEN 1000 7f3a c=sync,d=60000\r\n")
+	again.expect("ERR\r\n")
+	next.expectNoRequest()
+}
--- a/lab/abuse/abuse.go
+++ b/lab/abuse/abuse.go
@@ -48,6 +48,7 @@
 	Unanswered int // requests and lines of sound clients that were not answered in time
 	AnswerMax  time.Duration
 	Sent       int // requests or messages of the abusive clients
+	Received   int // requests of departed clients that a server received
 	SentOn     int // requests that a server received after their client had left
 	RunTwice   int // requests that servers received twice
 }
@@ -125,15 +126,12 @@
 
 // play runs the play beside the sound clients and collects the figures.
 func (s *stage) play(play Play) (*Result, error) {
-	var err error
-	if s.sound, err = startSoundClients(s.balancer.Addr(), s.Channels); err != nil {
-		return nil, err
-	}
+	s.sound = startSoundClients(s.balancer.Addr(), s.Channels)
 	stop := make(chan struct{})
 	var watch sync.WaitGroup
 	watch.Go(func() { s.watchMemory(stop) })
 	time.Sleep(s.Span)
-	err = play.run(s)
+	err := play.run(s)
 	s.closeAll()
 	close(stop)
 	watch.Wait()
--- a/lab/abuse/holders.go
+++ b/lab/abuse/holders.go
@@ -1,6 +1,7 @@
 package abuse
 
 import (
+	"bytes"
 	"net"
 	"sync"
 	"time"
@@ -15,8 +16,9 @@
 	opensAtOnce = 200
 	// holderReadBuffer is the size of a client's receive buffer, in bytes: unread replies stay with the balancer.
 	holderReadBuffer = 4 << 10
-	// unreadRequests is the number of messages that a client sends without reading the replies.
-	unreadRequests = 100_000
+	// leastUnread and mostUnread bound the number of messages that a client sends without reading the replies. The
+	// kernel buffers some 160,000 replies.
+	leastUnread, mostUnread = 150_000, 210_000
 	// slowWrites is the number of writes in which a client sends its request byte by byte.
 	slowWrites = 40
 )
@@ -99,15 +101,11 @@
 	return b
 }
 
-// unreadReplies is messages that are answered at once, sent without reading the answers.
+// unreadReplies is messages that are answered at once, sent without reading the answers. Their number varies, so that
+// some clients leave nearly as much unread as they may.
 func unreadReplies(s *stage) []byte {
-	s.result.Sent += unreadRequests
-	keepalive := packets(channel.Message{
-		Type: channel.GlobalRequest, Name: []byte(channel.Keepalive), WantReply: true,
-	})
-	b := greeting()
-	for range unreadRequests {
-		b = append(b, keepalive...)
-	}
-	return b
+	unknown := packets(channel.Message{Type: unknownMessage})
+	n := leastUnread + s.random.IntN(mostUnread-leastUnread)
+	s.result.Sent += n
+	return append(greeting(), bytes.Repeat(unknown, n)...)
 }
--- a/lab/abuse/sound.go
+++ b/lab/abuse/sound.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,43 +24,36 @@
 	replyTimeout = 10 * time.Second
 )
 
-var errNotEstablished = errors.New("a sound client's stream was not established")
+// soundLine is the line that sound clients send.
+const soundLine = "a line of a sound client\r\n"
+
+var errNoReply = errors.New("no reply")
 
 // soundClients keep the protocol and measure delays: some have a stream on which they exchange lines, and one opens new
-// streams. Those with plain lines have a connection each; with channels, half of them share one.
+// streams. Those with plain lines have a connection each; with channels, half of them share one. A client whose stream
+// is moved opens another.
 type soundClients struct {
-	addr    string
-	shared  *sshchan.Conn // nil for plain lines only
-	stopped chan struct{}
-	clients sync.WaitGroup
+	addr     string
+	channels bool
+	stopped  chan struct{}
+	clients  sync.WaitGroup
 
 	mu         sync.Mutex
+	shared     *sshchan.Conn
+	opened     int // number of requests so far
 	lines      []time.Duration
 	answers    []time.Duration
 	refused    int
 	unanswered int
 }
 
-func startSoundClients(addr string, channels bool) (*soundClients, error) {
-	s := &soundClients{addr: addr, stopped: make(chan struct{})}
-	if channels {
-		conn, err := net.Dial("tcp", addr)
-		if err != nil {
-			return nil, err
-		}
-		if s.shared, err = sshchan.Client(conn, echo.WindowBytes); err != nil {
-			return nil, err
-		}
-	}
+func startSoundClients(addr string, channels bool) *soundClients {
+	s := &soundClients{addr: addr, channels: channels, stopped: make(chan struct{})}
 	for i := range soundStreams {
-		stream, answer, err := s.open(i, s.shared != nil && i%2 == 0)
-		if err != nil || len(answer) < 2 || answer[:2] != "UP" {
-			return nil, fmt.Errorf("%w: %q, %w", errNotEstablished, answer, err)
-		}
-		s.clients.Go(func() { s.exchangeLines(stream) })
+		s.clients.Go(func() { s.keepStream(channels && i%2 == 0) })
 	}
 	s.clients.Go(s.openStreams)
-	return s, nil
+	return s
 }
 
 // stream is an established stream, a connection or a channel.
@@ -68,11 +62,37 @@
 	reader *bufio.Reader
 }
 
-// open opens a stream and returns the answer.
-func (s *soundClients) open(number int, onChannel bool) (stream, string, error) {
-	line := fmt.Sprintf("OPEN 5%07x %x c=%s,d=%d", number, number, deployment.IndexSync, soundDeadline.Milliseconds())
+// open opens a stream and records the answer. It returns false unless the stream is established.
+func (s *soundClients) open(onChannel bool) (stream, bool) {
+	s.mu.Lock()
+	s.opened++
+	deadline := soundDeadline.Milliseconds()
+	line := fmt.Sprintf("OPEN 5%07x %x c=%s,d=%d", s.opened, s.opened, deployment.IndexSync, deadline)
+	s.mu.Unlock()
+	start := time.Now()
+	opened, answer, err := s.openLine(line, onChannel)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.unanswered++
+		return opened, false
+	}
+	s.answers = append(s.answers, time.Since(start))
+	if !strings.HasPrefix(answer, "UP ") {
+		s.refused++
+		return opened, false
+	}
+	return opened, true
+}
+
+// openLine opens a stream and returns the answer.
+func (s *soundClients) openLine(line string, onChannel bool) (stream, string, error) {
 	if onChannel {
-		channel, err := s.shared.Open(line)
+		shared, err := s.sharedConn()
+		if err != nil {
+			return stream{}, "", err
+		}
+		channel, err := shared.Open(line)
 		if err != nil {
 			return stream{}, "", err
 		}
@@ -80,7 +100,7 @@
 		case answer := <-channel.Answered():
 			return stream{channel, bufio.NewReader(channel)}, answer.Line, nil
 		case <-time.After(replyTimeout):
-			return stream{}, "", errNotEstablished
+			return stream{}, "", errNoReply
 		}
 	}
 	conn, err := net.DialTimeout("tcp", s.addr, replyTimeout)
@@ -95,59 +115,79 @@
 	return stream{conn, reader}, answer, err
 }
 
-// exchangeLines sends a line at each interval and waits for its echo.
-func (s *soundClients) exchangeLines(stream stream) {
-	defer func() { _ = stream.Close() }()
+// sharedConn returns the connection that the channels share; a new one if the balancer has ended it.
+func (s *soundClients) sharedConn() (*sshchan.Conn, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.shared != nil && s.shared.Err() == nil {
+		return s.shared, nil
+	}
+	conn, err := net.DialTimeout("tcp", s.addr, replyTimeout)
+	if err != nil {
+		return nil, err
+	}
+	s.shared, err = sshchan.Client(conn, echo.WindowBytes)
+	return s.shared, err
+}
+
+// keepStream exchanges lines on a stream and opens another when it has ended.
+func (s *soundClients) keepStream(onChannel bool) {
+	for !s.pause(lineInterval) {
+		if opened, up := s.open(onChannel); up {
+			s.exchangeLines(opened)
+			_ = opened.Close()
+		}
+	}
+}
+
+// exchangeLines sends a line at each interval and waits for its echo, until the stream is moved or broken.
+func (s *soundClients) exchangeLines(on stream) {
 	for !s.pause(lineInterval) {
 		start := time.Now()
-		done := make(chan error, 1)
+		replied := make(chan error, 1)
+		var reply string
 		go func() {
-			_, _ = io.WriteString(stream, "a line of a sound client\r\n")
-			_, err := stream.reader.ReadString('\n')
-			done <- err
+			_, _ = io.WriteString(on, soundLine)
+			var err error
+			reply, err = on.reader.ReadString('\n')
+			replied <- err
 		}()
+		var err error
 		select {
-		case err := <-done:
-			s.recordLine(time.Since(start), err)
-			if err != nil {
-				return
-			}
+		case err = <-replied:
 		case <-time.After(replyTimeout):
-			s.recordLine(replyTimeout, errNotEstablished)
+			err = errNoReply
+		}
+		if err != nil || reply != soundLine {
+			s.recordEnd(on, reply, err)
 			return
 		}
+		s.mu.Lock()
+		s.lines = append(s.lines, time.Since(start))
+		s.mu.Unlock()
 	}
 }
 
-func (s *soundClients) recordLine(delay time.Duration, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if err != nil {
-		s.unanswered++
+// recordEnd records the end of a stream. One that was moved is no fault.
+func (s *soundClients) recordEnd(on stream, reply string, err error) {
+	if strings.HasPrefix(reply, "MOVE") {
 		return
 	}
-	s.lines = append(s.lines, delay)
+	if channel, ok := on.ReadWriteCloser.(*sshchan.Channel); ok && errors.Is(err, io.EOF) {
+		if _, moved := channel.Moved(); moved {
+			return
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unanswered++
 }
 
 // openStreams opens a stream at each interval, in turn on a connection and, with channels, on the shared one.
 func (s *soundClients) openStreams() {
-	for number := soundStreams; !s.pause(openInterval); number++ {
-		start := time.Now()
-		stream, answer, err := s.open(number, s.shared != nil && number%2 == 0)
-		delay := time.Since(start)
-		s.mu.Lock()
-		switch {
-		case err != nil:
-			s.unanswered++
-		case len(answer) < 2 || answer[:2] != "UP":
-			s.refused++
-			fallthrough
-		default:
-			s.answers = append(s.answers, delay)
-		}
-		s.mu.Unlock()
-		if stream.ReadWriteCloser != nil {
-			_ = stream.Close()
+	for onChannel := false; !s.pause(openInterval); onChannel = s.channels && !onChannel {
+		if opened, _ := s.open(onChannel); opened.ReadWriteCloser != nil {
+			_ = opened.Close()
 		}
 	}
 }
