--- a/cmd/spurspread-lab/main.go
+++ b/cmd/spurspread-lab/main.go
@@ -28,7 +28,7 @@
 	List        listCmd        `cmd:"" help:"List the experiments."`
 	Virtual     virtualCmd     `cmd:"" help:"Simulate members of a fleet in virtual time, on many seeds; exits with 0 only if all bounds hold."`
 	Lines       linesCmd       `cmd:"" help:"Compare how many lines two balancers forward."`
-	Abuse       abuseCmd       `cmd:"" help:"Play clients that cost a balancer more than they should; exits with 0 only if all bounds hold."`
+	Abuse       abuseCmd       `cmd:"" help:"Run clients that cost a balancer more than they should; exits with 0 only if all bounds hold."`
 	StubMembers stubMembersCmd `cmd:"" name:"hollow-members" hidden:"" help:"Run stub members of a scale run; the scale run starts this process itself."`
 }
 
--- a/lab/abuse/abuse.go
+++ b/lab/abuse/abuse.go
@@ -1,7 +1,7 @@
-// Package abuse plays clients that cost a balancer more than they should: that hold memory, keep its event loop busy,
-// or leave before their requests are served. Beside them sound clients measure what everybody else gets. Run plays one
-// of Plays on plain lines or on multiplexed channels, against a real balancer process with the platform's limits. The
-// package must not know a balancer's internals.
+// Package abuse runs clients that cost a balancer more than they should: that hold memory, keep its event loop busy, or
+// leave before their requests are served. Beside them sound clients measure what everybody else gets. Run executes one
+// of Scenarios on plain lines or on multiplexed channels, against a real balancer process with the platform's limits.
+// The package must not know a balancer's internals.
 package abuse
 
 import (
@@ -17,7 +17,7 @@
 	"spurspread/lab/report"
 )
 
-// Bounds of every play.
+// Bounds of every scenario.
 const (
 	// MaxResidentMB is the memory limit of the balancer, in megabytes: beyond it the platform kills the process.
 	MaxResidentMB = 192
@@ -27,15 +27,15 @@
 	MaxAnswerDelay = soundDeadline + 50*time.Millisecond
 )
 
-// Options are the options of a play.
+// Options are the options of a scenario.
 type Options struct {
 	Program  string // path of the balancer's executable
 	Channels bool   // the clients use multiplexed channels
 	Seed     uint64
-	Span     time.Duration // duration of each of the play's phases
+	Span     time.Duration // duration of each of the scenario's phases
 }
 
-// Result holds the figures of a play.
+// Result holds the figures of a scenario.
 type Result struct {
 	PeakMB     float64       // greatest resident memory of the balancer, in megabytes
 	PhasesMB   []int         // resident memory at the end of each phase of the holders, in megabytes
@@ -70,24 +70,24 @@
 	return errors.Join(errs...)
 }
 
-// Play is a way to misuse a balancer.
-type Play struct {
+// Scenario is a way to misuse a balancer.
+type Scenario struct {
 	Name  string
 	About string
-	run   func(*stage) error
+	run   func(*environment) error
 }
 
-// Plays returns all plays.
-func Plays() []Play {
-	return []Play{
+// Scenarios returns all scenarios.
+func Scenarios() []Scenario {
+	return []Scenario{
 		{"holders", "850 clients hold memory: half a request, requests that wait, unread replies", holdMemory},
 		{"flood", "one client sends small or unsound requests at full speed, under new names", flood},
 		{"departed", "clients leave with requests unread, and come again with the same ids", depart},
 	}
 }
 
-// stage is what a play runs on: a balancer, a server and sound clients.
-type stage struct {
+// environment is what a scenario runs on: a balancer, a server and sound clients.
+type environment struct {
 	Options
 	random   *rand.Rand
 	server   *server
@@ -102,14 +102,14 @@
 
 const bytesPerMB = 1 << 20
 
-// Run runs a play. An error means that it could not be run; Result.Err tells whether its bounds hold.
-func Run(play Play, options Options) (*Result, error) {
+// Run runs a scenario. An error means that it could not be run; Result.Err tells whether its bounds hold.
+func Run(scenario Scenario, options Options) (*Result, error) {
 	dir, err := os.MkdirTemp("", "abuse-")
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	s := &stage{Options: options, random: rand.New(rand.NewPCG(options.Seed, 0))}
+	s := &environment{Options: options, random: rand.New(rand.NewPCG(options.Seed, 0))}
 	if s.server, err = startServer(); err != nil {
 		return nil, err
 	}
@@ -121,17 +121,17 @@
 		return nil, err
 	}
 	defer s.balancer.Kill()
-	return s.play(play)
+	return s.execute(scenario)
 }
 
-// play runs the play beside the sound clients and collects the figures.
-func (s *stage) play(play Play) (*Result, error) {
+// execute runs the scenario beside the sound clients and collects the figures.
+func (s *environment) execute(scenario Scenario) (*Result, error) {
 	s.sound = startSoundClients(s.balancer.Addr(), s.Channels)
 	stop := make(chan struct{})
 	var watch sync.WaitGroup
 	watch.Go(func() { s.watchMemory(stop) })
 	time.Sleep(s.Span)
-	err := play.run(s)
+	err := scenario.run(s)
 	s.closeAll()
 	close(stop)
 	watch.Wait()
@@ -145,7 +145,7 @@
 }
 
 // watchMemory records the greatest resident memory until stop is closed.
-func (s *stage) watchMemory(stop chan struct{}) {
+func (s *environment) watchMemory(stop chan struct{}) {
 	for {
 		s.result.PeakMB = max(s.result.PeakMB, s.balancer.ResidentBytes()/bytesPerMB)
 		select {
@@ -157,7 +157,7 @@
 }
 
 // closeAll ends the connections of abusive clients.
-func (s *stage) closeAll() {
+func (s *environment) closeAll() {
 	for _, conn := range s.conns {
 		_ = conn.Close()
 	}
--- a/lab/abuse/attack.go
+++ b/lab/abuse/attack.go
@@ -21,7 +21,7 @@
 )
 
 // dial opens an abusive client's connection, which closeAll ends.
-func (s *stage) dial() (*net.TCPConn, error) {
+func (s *environment) dial() (*net.TCPConn, error) {
 	conn, err := net.DialTimeout("tcp", s.balancer.Addr(), writeTimeout)
 	if err != nil {
 		return nil, err
@@ -62,8 +62,8 @@
 	return line
 }
 
-// newID returns an id that no other request of the play has. The prefix names the group of requests.
-func (s *stage) newID(prefix string) string {
+// newID returns an id that no other request of the scenario has. The prefix names the group of requests.
+func (s *environment) newID(prefix string) string {
 	s.result.Sent++
 	return fmt.Sprintf("%s%08x", prefix, s.result.Sent)
 }
--- a/lab/abuse/departed.go
+++ b/lab/abuse/departed.go
@@ -23,7 +23,7 @@
 // depart has clients send requests and leave, every second one with a reset, and then come again with the same ids.
 // Half of them leave at once, the others when the server has received their requests. Between the two times of one
 // round a new version takes over.
-func depart(s *stage) error {
+func depart(s *environment) error {
 	for round := range departures {
 		var ids []string
 		for range requestsEach {
@@ -55,7 +55,7 @@
 }
 
 // sendAndLeave sends a request for each id, leaves, and records the requests that are sent on afterwards.
-func (s *stage) sendAndLeave(client departing) error {
+func (s *environment) sendAndLeave(client departing) error {
 	if err := s.sendRequests(client); err != nil {
 		return err
 	}
@@ -72,7 +72,7 @@
 }
 
 // sendRequests sends the requests of a client, on one connection with channels or on a connection each.
-func (s *stage) sendRequests(client departing) error {
+func (s *environment) sendRequests(client departing) error {
 	var contents [][]byte
 	if s.Channels {
 		contents = append(contents, requestsBehindUnread(client))
--- a/lab/abuse/flood.go
+++ b/lab/abuse/flood.go
@@ -15,12 +15,12 @@
 // unknownMessage is a message number that the protocol does not use.
 const unknownMessage channel.Type = 200
 
-// flood plays one kind of unsound client after another, each for the span at full speed.
-func flood(s *stage) error {
+// flood runs one kind of unsound client after another, each for the span at full speed.
+func flood(s *environment) error {
 	if !s.Channels {
 		return s.floodLines()
 	}
-	for _, kind := range []func(*stage, uint32) channel.Message{
+	for _, kind := range []func(*environment, uint32) channel.Message{
 		keepaliveMessage, unknownTypeMessage, malformedOpen, newNamesOpen, ignoredMessage,
 	} {
 		if err := s.floodChannels(kind); err != nil {
@@ -31,7 +31,7 @@
 }
 
 // floodChannels has one client send messages of a kind on one connection. It reads and drops all replies.
-func (s *stage) floodChannels(kind func(*stage, uint32) channel.Message) error {
+func (s *environment) floodChannels(kind func(*environment, uint32) channel.Message) error {
 	for end := time.Now().Add(s.Span); time.Now().Before(end); {
 		conn, err := s.dial()
 		if err != nil {
@@ -54,35 +54,35 @@
 	return nil
 }
 
-func keepaliveMessage(s *stage, _ uint32) channel.Message {
+func keepaliveMessage(s *environment, _ uint32) channel.Message {
 	s.result.Sent++
 	return channel.Message{Type: channel.GlobalRequest, Name: []byte(channel.Keepalive), WantReply: true}
 }
 
-func unknownTypeMessage(s *stage, _ uint32) channel.Message {
+func unknownTypeMessage(s *environment, _ uint32) channel.Message {
 	s.result.Sent++
 	return channel.Message{Type: unknownMessage}
 }
 
-func ignoredMessage(s *stage, _ uint32) channel.Message {
+func ignoredMessage(s *environment, _ uint32) channel.Message {
 	s.result.Sent++
 	return channel.Message{Type: channel.Ignore}
 }
 
-func malformedOpen(s *stage, number uint32) channel.Message {
+func malformedOpen(s *environment, number uint32) channel.Message {
 	s.result.Sent++
 	return openMessage(number, "OPEN")
 }
 
 // newNamesOpen opens a channel with an id, a group and fields that no other request has.
-func newNamesOpen(s *stage, number uint32) channel.Message {
+func newNamesOpen(s *environment, number uint32) channel.Message {
 	id := s.newID("d")
 	return openMessage(number, fmt.Sprintf("%s,g=%s,owner=%s,at=%s", requestLine(id, 0), id, id, id))
 }
 
 // floodLines has one client send lines that can't be served, and requests under new names that it gives up at once, on
 // one connection after another.
-func (s *stage) floodLines() error {
+func (s *environment) floodLines() error {
 	for _, kind := range []func(id string) string{
 		func(id string) string { return "GET /" + id + " HTTP/1.1\r\n" },
 		func(id string) string { return fmt.Sprintf("OPEN %s %s c=%s,d=2000\r\n", id, id, id) },
--- a/lab/abuse/holders.go
+++ b/lab/abuse/holders.go
@@ -23,11 +23,11 @@
 	slowWrites = 40
 )
 
-// holdMemory plays one kind of holders after another. All connect at once, stay for the span, and leave.
-func holdMemory(s *stage) error {
-	kinds := []func(*stage) []byte{halfLine, waitingRequest}
+// holdMemory runs one kind of holders after another. All connect at once, stay for the span, and leave.
+func holdMemory(s *environment) error {
+	kinds := []func(*environment) []byte{halfLine, waitingRequest}
 	if s.Channels {
-		kinds = []func(*stage) []byte{halfPacket, waitingChannels, unreadReplies}
+		kinds = []func(*environment) []byte{halfPacket, waitingChannels, unreadReplies}
 	}
 	for _, kind := range kinds {
 		if err := s.holdWith(kind); err != nil {
@@ -40,7 +40,7 @@
 }
 
 // holdWith has all holders send the same kind of bytes at once.
-func (s *stage) holdWith(kind func(*stage) []byte) error {
+func (s *environment) holdWith(kind func(*environment) []byte) error {
 	var writes sync.WaitGroup
 	for range holders {
 		conn, err := s.dial()
@@ -58,7 +58,7 @@
 }
 
 // holdSlowly has all holders send a first part at once and the rest byte by byte over the span.
-func (s *stage) holdSlowly(kind func(*stage) []byte) error {
+func (s *environment) holdSlowly(kind func(*environment) []byte) error {
 	contents := make([][]byte, holders)
 	conns := make([]net.Conn, holders)
 	for i := range holders {
@@ -80,20 +80,22 @@
 }
 
 // halfLine is a first line of many short fields without its end.
-func halfLine(s *stage) []byte { return []byte(requestLine(s.newID("a"), longLine)) }
+func halfLine(s *environment) []byte { return []byte(requestLine(s.newID("a"), longLine)) }
 
 // waitingRequest is a whole request, which waits for a server.
-func waitingRequest(s *stage) []byte { return []byte(requestLine(s.newID("b"), longLine) + "\r\n") }
+func waitingRequest(s *environment) []byte {
+	return []byte(requestLine(s.newID("b"), longLine) + "\r\n")
+}
 
 // halfPacket is a burst of packets that are passed over, and half of a packet of the greatest length.
-func halfPacket(s *stage) []byte {
+func halfPacket(s *environment) []byte {
 	s.result.Sent++
 	large := packets(channel.Message{Type: channel.Ignore, Data: make([]byte, channel.MaxData)})
 	return append(append(greeting(), large...), large[:len(large)-1]...)
 }
 
 // waitingChannels is as many opens as are allowed at once, with long first lines, which wait for a server.
-func waitingChannels(s *stage) []byte {
+func waitingChannels(s *environment) []byte {
 	b := greeting()
 	for number := range uint32(opensAtOnce) {
 		b = append(b, packets(openMessage(number, requestLine(s.newID("c"), longLine)))...)
@@ -103,7 +105,7 @@
 
 // unreadReplies is messages that are answered at once, sent without reading the answers. Their number varies, so that
 // some clients leave nearly as much unread as they may.
-func unreadReplies(s *stage) []byte {
+func unreadReplies(s *environment) []byte {
 	unknown := packets(channel.Message{Type: unknownMessage})
 	n := leastUnread + s.random.IntN(mostUnread-leastUnread)
 	s.result.Sent += n
